--- a/Makefile
+++ b/Makefile
@@ -5,15 +5,15 @@
 PACKAGES = argtable2 glib-2.0 libmicrohttpd libcurl libzmq msgpack ck yaml-0.1 jansson libxxhash gsl
 APT = gcc make pkg-config clang-format clang-tidy libargtable2-dev libglib2.0-dev \
 	libmicrohttpd-dev libcurl4-openssl-dev libzmq3-dev libmsgpack-dev libck-dev \
-	libyaml-dev libjansson-dev libxxhash-dev libgsl-dev gnuplot-nox curl spin \
+	libhttp-parser-dev libyaml-dev libjansson-dev libxxhash-dev libgsl-dev gnuplot-nox curl spin \
 	libclang-rt-14-dev clang doxygen procps
 SANITIZE ?=
-CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wno-unused-parameter -Isrc \
+CFLAGS = -std=gnu11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -Werror -Wno-unused-parameter -Isrc \
 	$(shell pkg-config --cflags $(PACKAGES) 2>/dev/null) $(SANITIZE)
-LIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lm -lpthread $(SANITIZE)
+LIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lhttp_parser -lm -lpthread $(SANITIZE)
 
-SOURCES = $(filter-out src/main.c,$(wildcard src/*.c))
-OBJECTS = $(SOURCES:src/%.c=$(BUILD)/src/%.o)
+SOURCES = $(filter-out src/main.c,$(wildcard src/*.c)) $(wildcard platform/*.c)
+OBJECTS = $(SOURCES:%.c=$(BUILD)/%.o)
 STANDINS = $(BUILD)/platform $(BUILD)/upstream
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/*.c))
 
@@ -37,7 +37,9 @@
 deps:
 	@dpkg -s $(APT) >/dev/null 2>&1 || { apt-get update -qq && DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(APT) >/dev/null; }
 
-$(BUILD)/src/%.o: src/%.c src/plantainarch.h src/config.h src/core_private.h src/codec.h src/control_private.h src/events.h src/metrics_list.h src/traffic.h src/command.h
+HEADERS = $(wildcard src/*.h platform/*.h)
+
+$(BUILD)/%.o: %.c $(HEADERS)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -c -o $@ $<
 
@@ -62,7 +64,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-FORMATTED = $(wildcard src/*.[ch] stand-ins/*.[ch] tests/*.[ch] tests/support/*.[ch] bench/*.c fuzz/*.c examples/*.c)
+FORMATTED = $(wildcard src/*.[ch] platform/*.[ch] stand-ins/*.[ch] tests/*.[ch] tests/support/*.[ch] bench/*.c fuzz/*.c examples/*.c)
 
 format:
 	clang-format -i $(FORMATTED)
@@ -70,7 +72,7 @@
 lint:
 	clang-format --dry-run --Werror $(FORMATTED)
 	@echo $(filter %.c,$(FORMATTED)) | tr ' ' '\n' | xargs -P 6 -n 1 sh -c \
-	'clang-tidy --quiet "$$@" -- -std=gnu11 -Isrc -Itests/support -Istand-ins $(shell pkg-config --cflags $(PACKAGES)) 2>/dev/null' tidy
+	'clang-tidy --quiet "$$@" -- -std=gnu11 -D_GNU_SOURCE -Isrc -Itests/support -Istand-ins $(shell pkg-config --cflags $(PACKAGES)) 2>/dev/null' tidy
 
 test: deps all
 	@tests/run.sh $(BUILD)
@@ -85,7 +87,7 @@
 
 # One libFuzzer binary for all parsers; bounded runs only.
 FUZZ_SECONDS ?= 600
-FUZZ_FLAGS = -std=gnu11 -g -O1 -Isrc $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null) -fsanitize=fuzzer,address,undefined
+FUZZ_FLAGS = -std=gnu11 -D_GNU_SOURCE -g -O1 -Isrc $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null) -fsanitize=fuzzer,address,undefined
 $(BUILD)/fuzz_parsers: fuzz/fuzz_parsers.c $(SOURCES)
 	@mkdir -p $(@D)
 	clang -w $(FUZZ_FLAGS) -o $@ $^ $(LIBS)
--- /dev/null
+++ b/src/belief.c
@@ -0,0 +1,126 @@
+/**
+ * @file belief.c
+ * What is known of one leaf, and of one kind of request over all leafs.
+ *
+ * The time of a request is split into the network's round trip, the kind's
+ * mean work, and the leaf's speed, so that a few requests of any kind at a leaf
+ * tell what the next one of another kind will take there.
+ */
+#include "tier.h"
+
+#define WORK_FIRST_US	  20000 /* mean work until a request has shown it */
+#define KIND_WEIGHT	  0.02	/* of one sample in the kind's mean */
+#define SPEED_WEIGHT	  0.1	/* of one sample in a leaf's speed */
+#define FAILURE_WEIGHT	  0.15	/* of one sample in a leaf's failures */
+#define SAMPLE_CLIP	  3.0	/* one stalled request is no slow leaf */
+#define TAIL_FIRST	  2.5	/* multiples of the expected work */
+#define TAIL_QUANTILE	  0.93	/* the rest may be hedged within the budget */
+#define TAIL_STEP	  0.05	/* change of the estimate by one sample */
+#define TAIL_LEAST	  1.3
+#define TAIL_MOST	  8.0
+#define SPEED_LEAST	  0.2
+#define SPEED_MOST	  20.0
+#define COLD_FACTOR	  1.6	  /* work of a leaf that has just started */
+#define OVERDUE_FLOOR_US  8000	  /* jitter of the network and the loop */
+#define BACKOFF_FIRST_US  250000  /* the first rest of an unreachable leaf */
+#define BACKOFF_MOST_US	  3000000 /* below the time that a crash lasts */
+#define FAILURES_DOWN	  0.6	  /* share from which a leaf rests */
+
+const char *
+outcome_get_name(attempt_outcome_t outcome)
+{
+	static const char *const names[] = { "answered", "leaf_failed",
+		"not_run", "misdirected", "unsent", "broken", "silent" };
+
+	return names[outcome];
+}
+
+void
+kind_belief_begin(kind_belief_t *kind)
+{
+	*kind = (kind_belief_t) { .work_us = WORK_FIRST_US,
+		.tail = TAIL_FIRST };
+}
+
+void
+leaf_belief_begin(leaf_belief_t *leaf)
+{
+	*leaf = (leaf_belief_t) { .speed = 1.0 };
+}
+
+static double
+get_work_us(const kind_belief_t *kind, const leaf_belief_t *leaf)
+{
+	return kind->work_us * leaf->speed;
+}
+
+int64_t
+belief_get_expected_us(
+    const kind_belief_t *kind, const leaf_belief_t *leaf, int64_t rtt_us)
+{
+	return rtt_us + (int64_t)get_work_us(kind, leaf);
+}
+
+int64_t
+belief_get_overdue_us(
+    const kind_belief_t *kind, const leaf_belief_t *leaf, int64_t rtt_us)
+{
+	double speed = CLAMP(leaf->speed, 1.0, SAMPLE_CLIP);
+
+	return rtt_us + OVERDUE_FLOOR_US +
+	       (int64_t)(kind->work_us * speed * kind->tail);
+}
+
+void
+belief_note_answer(kind_belief_t *kind, leaf_belief_t *leaf, int64_t now_us,
+    int64_t rtt_us, int64_t took_us)
+{
+	double expected = get_work_us(kind, leaf);
+	double work = (double)MAX(took_us - rtt_us, took_us / 10);
+	double ratio = work / expected;
+	double clipped = MIN(work, SAMPLE_CLIP * expected);
+
+	if (now_us < leaf->cold_until_us)
+		clipped /= COLD_FACTOR;
+	kind->samples++;
+	kind->work_us += MAX(KIND_WEIGHT, 1.0 / (double)kind->samples) *
+			 (clipped - kind->work_us);
+	kind->work_us = MAX(kind->work_us, 200.0);
+	leaf->speed += SPEED_WEIGHT * (clipped / kind->work_us - leaf->speed);
+	leaf->speed = CLAMP(leaf->speed, SPEED_LEAST, SPEED_MOST);
+	kind->tail += ratio > kind->tail
+			  ? TAIL_STEP * kind->tail * TAIL_QUANTILE
+			  : -TAIL_STEP * kind->tail * (1.0 - TAIL_QUANTILE);
+	kind->tail = CLAMP(kind->tail, TAIL_LEAST, TAIL_MOST);
+	leaf->failures -= FAILURE_WEIGHT * leaf->failures;
+	leaf->is_stalled = false;
+	leaf->down_until_us = 0;
+	leaf->backoff_us = 0;
+	leaf->answered_us = now_us;
+}
+
+void
+belief_note_failure(
+    leaf_belief_t *leaf, int64_t now_us, attempt_outcome_t outcome)
+{
+	leaf->failures += FAILURE_WEIGHT * (1.0 - leaf->failures);
+	if (outcome != OUTCOME_SILENT)
+		leaf->is_stalled = false;
+	if (outcome != OUTCOME_UNSENT && outcome != OUTCOME_SILENT &&
+	    leaf->failures < FAILURES_DOWN)
+		return;
+	leaf->backoff_us = leaf->backoff_us == 0
+			       ? BACKOFF_FIRST_US
+			       : MIN(2 * leaf->backoff_us, BACKOFF_MOST_US);
+	leaf->down_until_us = now_us + leaf->backoff_us;
+	leaf->is_stalled = false;
+}
+
+void
+belief_note_stall(leaf_belief_t *leaf, int64_t now_us)
+{
+	if (leaf->is_stalled)
+		return;
+	leaf->is_stalled = true;
+	leaf->stalled_us = now_us;
+}
--- /dev/null
+++ b/src/budget.c
@@ -0,0 +1,60 @@
+/**
+ * @file budget.c
+ * Bounds the extra requests to one service in a sliding window.
+ *
+ * The fleet's bound is a ratio of first requests plus a constant. Each VM keeps
+ * the ratio for its own requests and its share of the constant, so the sum
+ * keeps the bound without messages between VMs.
+ */
+#include <string.h>
+
+#include "tier.h"
+
+/* Part of the bound that is used; the rest covers windows cut otherwise. */
+#define BUDGET_USED 0.8
+
+void
+budget_begin(budget_t *budget, int64_t window_us)
+{
+	memset(budget, 0, sizeof(*budget));
+	budget->step_us = MAX(window_us / BUDGET_STEPS, 1);
+}
+
+static void
+advance(budget_t *budget, int64_t now_us)
+{
+	int64_t step = now_us / budget->step_us;
+
+	if (step - budget->step > BUDGET_STEPS)
+		budget->step = step - BUDGET_STEPS;
+	while (budget->step < step) {
+		int slot = (int)(++budget->step % BUDGET_STEPS);
+
+		budget->first_sum -= budget->first[slot];
+		budget->extra_sum -= budget->extra[slot];
+		budget->first[slot] = 0;
+		budget->extra[slot] = 0;
+	}
+}
+
+void
+budget_note_first(budget_t *budget, int64_t now_us)
+{
+	advance(budget, now_us);
+	budget->first[budget->step % BUDGET_STEPS]++;
+	budget->first_sum++;
+}
+
+bool
+budget_take(budget_t *budget, int64_t now_us, double ratio, double slack)
+{
+	double most;
+
+	advance(budget, now_us);
+	most = BUDGET_USED * (ratio * budget->first_sum + slack);
+	if (budget->extra_sum + 1 > most)
+		return false;
+	budget->extra[budget->step % BUDGET_STEPS]++;
+	budget->extra_sum++;
+	return true;
+}
--- a/src/document.c
+++ b/src/document.c
@@ -7,19 +7,8 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
-#include <yaml.h>
 
-#include "plantainarch.h"
-
-/** One document being read. */
-typedef struct reading {
-	yaml_document_t yaml;
-	const char *name;
-	problem_list_t *problems;
-} reading_t;
-
-typedef void (*pair_fn_t)(reading_t *reading, const char *key,
-    const yaml_node_t *key_node, yaml_node_t *value, void *context);
+#include "document.h"
 
 typedef struct exception_reading {
 	settings_t *settings;
@@ -30,17 +19,8 @@
 	int line;
 } exception_reading_t;
 
-static bool begin_reading(reading_t *reading, const char *name,
-    const char *text, size_t length, problem_list_t *problems);
-static void add_problem(reading_t *reading, const yaml_node_t *node,
-    const char *key, const char *format, ...) G_GNUC_PRINTF(4, 5);
 static const char *describe_node(
     const yaml_node_t *node, char *buffer, size_t size);
-static const char *get_scalar(const yaml_node_t *node);
-static bool read_pairs(reading_t *reading, yaml_node_t *node, const char *key,
-    pair_fn_t callback, void *context);
-static bool read_name(reading_t *reading, const char *key, yaml_node_t *node,
-    char *target, size_t size);
 static bool read_number(reading_t *reading, const char *key, yaml_node_t *node,
     int low, int high, int *target);
 static bool read_duration(
@@ -75,12 +55,12 @@
 	reading_t reading;
 
 	settings_reset(settings);
-	if (!begin_reading(&reading, name, text, length, problems))
+	if (!document_begin(&reading, name, text, length, problems))
 		return false;
-	read_pairs(&reading, yaml_document_get_root_node(&reading.yaml),
+	document_read_pairs(&reading, yaml_document_get_root_node(&reading.yaml),
 	    "document", read_fleet_pair, settings);
 	if (settings->fleet[0] == '\0')
-		add_problem(&reading, NULL, "fleet",
+		document_add_problem(&reading, NULL, "fleet",
 		    "is missing; name the fleet, e.g. fleet: van-damme");
 	check_exceptions(&reading, settings);
 	yaml_document_delete(&reading.yaml);
@@ -99,36 +79,36 @@
 	settings->drain_us = 3000000;
 
 	g_strlcpy(settings->log_level, "message", sizeof(settings->log_level));
-	if (!begin_reading(&reading, name, text, length, problems))
+	if (!document_begin(&reading, name, text, length, problems))
 		return false;
-	read_pairs(&reading, yaml_document_get_root_node(&reading.yaml),
+	document_read_pairs(&reading, yaml_document_get_root_node(&reading.yaml),
 	    "document", read_vm_pair, settings);
 	if (settings->id[0] == '\0')
-		add_problem(&reading, NULL, "id",
+		document_add_problem(&reading, NULL, "id",
 		    "is missing; give the VM a unique name");
 	if (settings->zone[0] == '\0')
-		add_problem(&reading, NULL, "zone",
+		document_add_problem(&reading, NULL, "zone",
 		    "is missing; name the VM's availability zone");
 	if (settings->address[0] == '\0')
-		add_problem(&reading, NULL, "address",
+		document_add_problem(&reading, NULL, "address",
 		    "is missing; give the IP number to listen on");
 	if (settings->platform[0] == '\0')
-		add_problem(&reading, NULL, "platform",
+		document_add_problem(&reading, NULL, "platform",
 		    "is missing; give the base URL of the object API");
 	if (settings->caller_port == 0 || settings->peer_port == 0)
-		add_problem(&reading, NULL, "caller_port, peer_port",
+		document_add_problem(&reading, NULL, "caller_port, peer_port",
 		    "both are needed; give two free ports");
 	if ((settings->curve_public[0] == '\0') !=
 	    (settings->curve_secret[0] == '\0'))
-		add_problem(&reading, NULL, "curve_public, curve_secret",
+		document_add_problem(&reading, NULL, "curve_public, curve_secret",
 		    "only one of the pair is set; make a pair with "
 		    "'plantainarch keys'");
 	yaml_document_delete(&reading.yaml);
 	return problems->texts->len == before;
 }
 
-static bool
-begin_reading(reading_t *reading, const char *name, const char *text,
+bool
+document_begin(reading_t *reading, const char *name, const char *text,
     size_t length, problem_list_t *problems)
 {
 	yaml_parser_t parser;
@@ -156,8 +136,8 @@
 	return is_good;
 }
 
-static void
-add_problem(reading_t *reading, const yaml_node_t *node, const char *key,
+void
+document_add_problem(reading_t *reading, const yaml_node_t *node, const char *key,
     const char *format, ...)
 {
 	va_list arguments;
@@ -177,15 +157,15 @@
 describe_node(const yaml_node_t *node, char *buffer, size_t size)
 {
 	if (node->type == YAML_SCALAR_NODE)
-		snprintf(buffer, size, "\"%s\"", get_scalar(node));
+		snprintf(buffer, size, "\"%s\"", document_get_scalar(node));
 	else
 		snprintf(buffer, size, "%s",
 		    node->type == YAML_MAPPING_NODE ? "a mapping" : "a list");
 	return buffer;
 }
 
-static const char *
-get_scalar(const yaml_node_t *node)
+const char *
+document_get_scalar(const yaml_node_t *node)
 {
 	return node->type == YAML_SCALAR_NODE
 		   ? (const char *)node->data.scalar.value
@@ -193,15 +173,15 @@
 }
 
 /* Calls back for each pair of a mapping; reports duplicate keys. */
-static bool
-read_pairs(reading_t *reading, yaml_node_t *node, const char *key,
+bool
+document_read_pairs(reading_t *reading, yaml_node_t *node, const char *key,
     pair_fn_t callback, void *context)
 {
 	char found[NAME_BYTES];
 	GHashTable *seen;
 
 	if (node->type != YAML_MAPPING_NODE) {
-		add_problem(reading, node, key,
+		document_add_problem(reading, node, key,
 		    "found %s; allowed is a mapping of names to values",
 		    describe_node(node, found, sizeof(found)));
 		return false;
@@ -214,31 +194,31 @@
 		yaml_node_t *value =
 		    yaml_document_get_node(&reading->yaml, pair->value);
 
-		if (!g_hash_table_add(seen, (gpointer)get_scalar(name)))
-			add_problem(reading, name, get_scalar(name),
+		if (!g_hash_table_add(seen, (gpointer)document_get_scalar(name)))
+			document_add_problem(reading, name, document_get_scalar(name),
 			    "is given twice; keep one");
 		else
 			callback(
-			    reading, get_scalar(name), name, value, context);
+			    reading, document_get_scalar(name), name, value, context);
 	}
 	g_hash_table_destroy(seen);
 	return true;
 }
 
-static bool
-read_name(reading_t *reading, const char *key, yaml_node_t *node, char *target,
+bool
+document_read_name(reading_t *reading, const char *key, yaml_node_t *node, char *target,
     size_t size)
 {
 	char found[NAME_BYTES];
 
-	if (node->type != YAML_SCALAR_NODE || get_scalar(node)[0] == '\0' ||
-	    strlen(get_scalar(node)) >= size) {
-		add_problem(reading, node, key,
+	if (node->type != YAML_SCALAR_NODE || document_get_scalar(node)[0] == '\0' ||
+	    strlen(document_get_scalar(node)) >= size) {
+		document_add_problem(reading, node, key,
 		    "found %s; allowed is a text of 1 to %zu bytes",
 		    describe_node(node, found, sizeof(found)), size - 1);
 		return false;
 	}
-	g_strlcpy(target, get_scalar(node), size);
+	g_strlcpy(target, document_get_scalar(node), size);
 	return true;
 }
 
@@ -248,11 +228,11 @@
 {
 	char found[NAME_BYTES];
 	char *end = NULL;
-	int64_t number = g_ascii_strtoll(get_scalar(node), &end, 10);
+	int64_t number = g_ascii_strtoll(document_get_scalar(node), &end, 10);
 
-	if (end == get_scalar(node) || *end != '\0' || number < low ||
+	if (end == document_get_scalar(node) || *end != '\0' || number < low ||
 	    number > high) {
-		add_problem(reading, node, key,
+		document_add_problem(reading, node, key,
 		    "found %s; allowed is a whole number from %d to %d",
 		    describe_node(node, found, sizeof(found)), low, high);
 		return false;
@@ -267,10 +247,10 @@
 {
 	char allowed[REASON_BYTES], found[NAME_BYTES];
 
-	if (settings_parse_value(SETTING_DEADLINE_US, get_scalar(node), target,
+	if (settings_parse_value(SETTING_DEADLINE_US, document_get_scalar(node), target,
 		allowed, sizeof(allowed)))
 		return true;
-	add_problem(reading, node, key, "found %s; allowed is %s",
+	document_add_problem(reading, node, key, "found %s; allowed is %s",
 	    describe_node(node, found, sizeof(found)), allowed);
 	return false;
 }
@@ -283,13 +263,13 @@
 	char found[NAME_BYTES];
 
 	if (strcmp(key, "fleet") == 0) {
-		read_name(reading, key, value, settings->fleet,
+		document_read_name(reading, key, value, settings->fleet,
 		    sizeof(settings->fleet));
 	} else if (strcmp(key, "defaults") == 0) {
-		read_pairs(reading, value, key, read_default_pair, settings);
+		document_read_pairs(reading, value, key, read_default_pair, settings);
 	} else if (strcmp(key, "exceptions") == 0) {
 		if (value->type != YAML_SEQUENCE_NODE) {
-			add_problem(reading, value, key,
+			document_add_problem(reading, value, key,
 			    "found %s; allowed is a list of exceptions",
 			    describe_node(value, found, sizeof(found)));
 			return;
@@ -299,7 +279,7 @@
 			read_exception(reading, settings,
 			    yaml_document_get_node(&reading->yaml, *item));
 	} else {
-		add_problem(reading, key_node, key,
+		document_add_problem(reading, key_node, key,
 		    "is unknown; allowed are fleet, defaults and exceptions");
 	}
 }
@@ -318,13 +298,13 @@
 
 	if (node->type == YAML_SCALAR_NODE &&
 	    settings_parse_value(
-		key, get_scalar(node), &value, allowed, sizeof(allowed))) {
+		key, document_get_scalar(node), &value, allowed, sizeof(allowed))) {
 		*target = value;
 		return true;
 	}
 	if (node->type != YAML_SCALAR_NODE)
 		snprintf(allowed, sizeof(allowed), "a single value");
-	add_problem(reading, node, settings_get_info(key)->name,
+	document_add_problem(reading, node, settings_get_info(key)->name,
 	    "found %s; allowed is %s",
 	    describe_node(node, found, sizeof(found)), allowed);
 	return false;
@@ -338,7 +318,7 @@
 	rank_t rank;
 
 	if (!rank_parse(key, &rank))
-		add_problem(reading, key_node, key,
+		document_add_problem(reading, key_node, key,
 		    "is no rank; allowed are urgent, standard and bulk");
 	else
 		read_value(reading, target->key, value,
@@ -354,14 +334,14 @@
 	int64_t number;
 
 	if (!settings_find_key(key, &target.key)) {
-		add_problem(reading, key_node, key,
+		document_add_problem(reading, key_node, key,
 		    "is no setting; 'plantainarch check --list' prints them "
 		    "all");
 		return;
 	}
 	if (value->type == YAML_MAPPING_NODE &&
 	    settings_get_info(target.key)->by_rank) {
-		read_pairs(reading, value, key, read_rank_pair, &target);
+		document_read_pairs(reading, value, key, read_rank_pair, &target);
 		return;
 	}
 	if (!read_value(reading, target.key, value, &number))
@@ -378,21 +358,21 @@
 	rank_t rank;
 
 	if (strcmp(key, "index") == 0)
-		read_name(
+		document_read_name(
 		    reading, key, value, scope->index, sizeof(scope->index));
 	else if (strcmp(key, "upstream") == 0)
-		read_name(reading, key, value, scope->upstream,
+		document_read_name(reading, key, value, scope->upstream,
 		    sizeof(scope->upstream));
 	else if (strcmp(key, "zone") == 0)
-		read_name(
+		document_read_name(
 		    reading, key, value, scope->zone, sizeof(scope->zone));
 	else if (strcmp(key, "rank") != 0)
-		add_problem(reading, key_node, key,
+		document_add_problem(reading, key_node, key,
 		    "is no scope; allowed are index, upstream, zone and rank");
-	else if (!rank_parse(get_scalar(value), &rank))
-		add_problem(reading, value, key,
+	else if (!rank_parse(document_get_scalar(value), &rank))
+		document_add_problem(reading, value, key,
 		    "found \"%s\"; allowed is urgent, standard or bulk",
-		    get_scalar(value));
+		    document_get_scalar(value));
 	else
 		scope->rank = (int)rank;
 }
@@ -406,7 +386,7 @@
 	setting_exception_t *exception;
 
 	if (settings->exception_count >= EXCEPTIONS_MAX) {
-		add_problem(reading, key_node, key,
+		document_add_problem(reading, key_node, key,
 		    "is one exception too many; at most %d are allowed",
 		    EXCEPTIONS_MAX);
 		return;
@@ -415,7 +395,7 @@
 	memset(exception, 0, sizeof(*exception));
 	exception->line = (int)key_node->start_mark.line + 1;
 	if (!settings_find_key(key, &exception->key))
-		add_problem(reading, key_node, key,
+		document_add_problem(reading, key_node, key,
 		    "is no setting; 'plantainarch check --list' prints them "
 		    "all");
 	else if (read_value(
@@ -432,19 +412,19 @@
 	exception_reading_t *entry = context;
 
 	if (strcmp(key, "scope") == 0)
-		entry->has_scope = read_pairs(
+		entry->has_scope = document_read_pairs(
 		    reading, value, key, read_scope_pair, &entry->scope);
 	else if (strcmp(key, "set") == 0)
 		entry->has_set =
-		    read_pairs(reading, value, key, read_set_pair, entry);
+		    document_read_pairs(reading, value, key, read_set_pair, entry);
 	else if (strcmp(key, "reason") == 0)
-		entry->has_reason = read_name(
+		entry->has_reason = document_read_name(
 		    reading, key, value, entry->reason, sizeof(entry->reason));
 	else if (strcmp(key, "author") == 0)
-		entry->has_author = read_name(
+		entry->has_author = document_read_name(
 		    reading, key, value, entry->author, sizeof(entry->author));
 	else
-		add_problem(reading, key_node, key,
+		document_add_problem(reading, key_node, key,
 		    "is unknown; an exception has scope, set, reason and "
 		    "author");
 }
@@ -456,20 +436,20 @@
 		.scope.rank = -1,
 		.first = settings->exception_count };
 
-	if (!read_pairs(
+	if (!document_read_pairs(
 		reading, node, "exception", read_exception_pair, &entry))
 		return;
 	if (!entry.has_scope)
-		add_problem(reading, node, "scope",
+		document_add_problem(reading, node, "scope",
 		    "is missing; say for which index, upstream, zone or rank");
 	if (!entry.has_set)
-		add_problem(reading, node, "set",
+		document_add_problem(reading, node, "set",
 		    "is missing; say which setting gets which value");
 	if (!entry.has_reason)
-		add_problem(reading, node, "reason",
+		document_add_problem(reading, node, "reason",
 		    "is missing; every exception carries a written reason");
 	if (!entry.has_author)
-		add_problem(reading, node, "author",
+		document_add_problem(reading, node, "author",
 		    "is missing; say who answers for this exception");
 	for (int i = entry.first; i < settings->exception_count; i++) {
 		settings->exceptions[i].scope = entry.scope;
@@ -517,16 +497,16 @@
 	char level[NAME_BYTES];
 
 	if (strcmp(key, "id") == 0)
-		read_name(
+		document_read_name(
 		    reading, key, value, settings->id, sizeof(settings->id));
 	else if (strcmp(key, "zone") == 0)
-		read_name(reading, key, value, settings->zone,
+		document_read_name(reading, key, value, settings->zone,
 		    sizeof(settings->zone));
 	else if (strcmp(key, "region") == 0)
-		read_name(reading, key, value, settings->region,
+		document_read_name(reading, key, value, settings->region,
 		    sizeof(settings->region));
 	else if (strcmp(key, "address") == 0)
-		read_name(reading, key, value, settings->address,
+		document_read_name(reading, key, value, settings->address,
 		    sizeof(settings->address));
 	else if (strcmp(key, "caller_port") == 0)
 		read_number(
@@ -535,37 +515,37 @@
 		read_number(
 		    reading, key, value, 1, 65400, &settings->peer_port);
 	else if (strcmp(key, "platform") == 0)
-		read_name(reading, key, value, settings->platform,
+		document_read_name(reading, key, value, settings->platform,
 		    sizeof(settings->platform));
 	else if (strcmp(key, "threads") == 0)
 		read_number(reading, key, value, 1, 64, &settings->threads);
 	else if (strcmp(key, "curve_public") == 0)
-		read_name(reading, key, value, settings->curve_public,
+		document_read_name(reading, key, value, settings->curve_public,
 		    sizeof(settings->curve_public));
 	else if (strcmp(key, "curve_secret") == 0)
-		read_name(reading, key, value, settings->curve_secret,
+		document_read_name(reading, key, value, settings->curve_secret,
 		    sizeof(settings->curve_secret));
 	else if (strcmp(key, "seeds") == 0)
-		read_name(reading, key, value, settings->seeds,
+		document_read_name(reading, key, value, settings->seeds,
 		    sizeof(settings->seeds));
 	else if (strcmp(key, "drain") == 0)
 		read_duration(reading, key, value, &settings->drain_us);
 
 	else if (strcmp(key, "log_format") == 0 &&
-		 (strcmp(get_scalar(value), "json") == 0 ||
-		     strcmp(get_scalar(value), "text") == 0))
-		settings->log_json = strcmp(get_scalar(value), "json") == 0;
+		 (strcmp(document_get_scalar(value), "json") == 0 ||
+		     strcmp(document_get_scalar(value), "text") == 0))
+		settings->log_json = strcmp(document_get_scalar(value), "json") == 0;
 	else if (strcmp(key, "log_format") == 0)
-		add_problem(reading, value, key,
-		    "found \"%s\"; allowed is text or json", get_scalar(value));
+		document_add_problem(reading, value, key,
+		    "found \"%s\"; allowed is text or json", document_get_scalar(value));
 	else if (strcmp(key, "log_level") != 0)
-		add_problem(reading, key_node, key,
+		document_add_problem(reading, key_node, key,
 		    "is unknown; allowed are id, zone, region, address, "
 		    "caller_port, peer_port, platform, threads, curve_public, "
 		    "curve_secret, seeds, drain, log_level, log_format");
-	else if (read_name(reading, key, value, level, sizeof(level)) &&
+	else if (document_read_name(reading, key, value, level, sizeof(level)) &&
 		 strstr("debug info message warning", level) == NULL)
-		add_problem(reading, value, key,
+		document_add_problem(reading, value, key,
 		    "found \"%s\"; allowed is debug, info, message or warning",
 		    level);
 	else
--- /dev/null
+++ b/src/document.h
@@ -0,0 +1,32 @@
+/**
+ * @file document.h
+ * What the readers of YAML documents share: pairs, scalars and problems.
+ */
+#ifndef DOCUMENT_H
+#define DOCUMENT_H
+
+#include <yaml.h>
+
+#include "plantainarch.h"
+
+/** One document being read. */
+typedef struct reading {
+	yaml_document_t yaml;
+	const char *name;
+	problem_list_t *problems;
+} reading_t;
+
+typedef void (*pair_fn_t)(reading_t *reading, const char *key,
+    const yaml_node_t *key_node, yaml_node_t *value, void *context);
+
+bool document_begin(reading_t *reading, const char *name, const char *text,
+    size_t length, problem_list_t *problems); /* then yaml_document_delete */
+void document_add_problem(reading_t *reading, const yaml_node_t *node,
+    const char *key, const char *format, ...) G_GNUC_PRINTF(4, 5);
+const char *document_get_scalar(const yaml_node_t *node);
+bool document_read_pairs(reading_t *reading, yaml_node_t *node,
+    const char *key, pair_fn_t callback, void *context);
+bool document_read_name(reading_t *reading, const char *key,
+    yaml_node_t *node, char *target, size_t size);
+
+#endif
--- /dev/null
+++ b/src/entrance.c
@@ -0,0 +1,397 @@
+/**
+ * @file entrance.c
+ * Callers' connections: requests in, answers out, within the limits.
+ */
+#include <stdio.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "tier_shell.h"
+
+#define SWEEP_US       250000
+#define ACCEPTS_A_TURN 16
+#define BACKLOG_BYTES  65536 /* of later requests, while one is in work */
+
+typedef struct caller_link {
+	LIST_ENTRY(caller_link) in_entrance;
+	entrance_t *entrance;
+	stream_t *stream;
+	http_message_t message;
+	GString *backlog; /* bytes behind the request in work */
+	tier_request_t *request;
+	int64_t since_us; /* the request's first byte, or idle since */
+	bool is_working;  /* a request has no answer yet */
+	bool is_closing;  /* closed after the answer */
+	bool is_ended;
+} caller_link_t;
+
+struct entrance {
+	loop_t *loop;
+	const protocol_t *protocol;
+	tier_t *tier;
+	int fd;
+	LIST_HEAD(, caller_link) links;
+	int busy_count, ended_count;
+	bool is_closing;
+	int64_t sweep_us;
+	GString *scratch;
+};
+
+static void handle_accept(void *context, int fd, uint32_t events);
+static void handle_received(void *context, const char *data, size_t length);
+static void handle_closed(void *context, bool is_clean);
+static int64_t run_timer(void *context);
+
+static const stream_hooks_t stream_hooks = { NULL, handle_received,
+	handle_closed };
+
+entrance_t *
+entrance_create(loop_t *loop, const protocol_t *protocol, tier_t *tier,
+    const char *address, error_info_t *error)
+{
+	int fd = stream_listen(address, error);
+	entrance_t *entrance;
+
+	if (fd < 0)
+		return NULL;
+	entrance = g_new0(entrance_t, 1);
+	entrance->loop = loop;
+	entrance->protocol = protocol;
+	entrance->tier = tier;
+	entrance->fd = fd;
+	entrance->scratch = g_string_sized_new(2048);
+	LIST_INIT(&entrance->links);
+	loop_set_fd(loop, fd, EPOLLIN, handle_accept, entrance);
+	loop_add_timer(loop, run_timer, entrance);
+	return entrance;
+}
+
+static void
+destroy_link(caller_link_t *link)
+{
+	LIST_REMOVE(link, in_entrance);
+	if (link->is_ended)
+		link->entrance->ended_count--;
+	if (link->is_working)
+		link->entrance->busy_count--;
+	stream_finish(link->stream);
+	http_message_end(&link->message);
+	g_string_free(link->backlog, TRUE);
+	g_free(link);
+}
+
+void
+entrance_destroy(entrance_t *entrance)
+{
+	while (!LIST_EMPTY(&entrance->links))
+		destroy_link(LIST_FIRST(&entrance->links));
+	loop_remove_timer(entrance->loop, run_timer, entrance);
+	loop_unset_fd(entrance->loop, entrance->fd);
+	close(entrance->fd);
+	g_string_free(entrance->scratch, TRUE);
+	g_free(entrance);
+}
+
+void
+entrance_set_closing(entrance_t *entrance)
+{
+	entrance->is_closing = true;
+}
+
+void
+entrance_close_idle(entrance_t *entrance)
+{
+	caller_link_t *link, *next;
+
+	for (link = LIST_FIRST(&entrance->links); link != NULL; link = next) {
+		next = LIST_NEXT(link, in_entrance);
+		if (!link->is_working && !link->message.is_begun)
+			destroy_link(link);
+	}
+}
+
+int
+entrance_count_busy(const entrance_t *entrance)
+{
+	return entrance->busy_count;
+}
+
+const http_message_t *
+entrance_get_request(void *caller)
+{
+	return &((caller_link_t *)caller)->message;
+}
+
+static void
+handle_accept(void *context, int fd, uint32_t events)
+{
+	entrance_t *entrance = context;
+
+	for (int i = 0; i < ACCEPTS_A_TURN; i++) {
+		int accepted =
+		    accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		const caller_limits_t *limits;
+		caller_link_t *link;
+
+		if (accepted < 0)
+			return;
+		limits = tier_get_limits(entrance->tier);
+		link = g_new0(caller_link_t, 1);
+		link->entrance = entrance;
+		link->since_us = clock_get_us();
+		link->backlog = g_string_new(NULL);
+		http_message_begin(&link->message, true, limits->head_bytes,
+		    limits->body_bytes);
+		link->stream = stream_adopt(
+		    entrance->loop, accepted, &stream_hooks, link);
+		LIST_INSERT_HEAD(&entrance->links, link, in_entrance);
+	}
+}
+
+/* ---- Answers ---------------------------------------------------------------- */
+
+static void
+write_own(GString *out, const tier_answer_t *answer)
+{
+	char body[256];
+	int length = snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n",
+	    answer->reason != NULL ? answer->reason : "");
+
+	if (answer->retry_after_us > 0)
+		g_string_append_printf(out, "Retry-After: %.3f\r\n",
+		    (double)answer->retry_after_us / 1e6);
+	g_string_append_printf(out,
+	    "Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+	    length, body);
+}
+
+static void
+write_gather(
+    GString *out, const protocol_t *protocol, const tier_answer_t *answer)
+{
+	protocol->write_gather_head(out, answer);
+	g_string_append_printf(out, "Content-Length: %" G_GSIZE_FORMAT
+				    "\r\n\r\n",
+	    answer->records->len);
+	g_string_append_len(
+	    out, answer->records->str, (gssize)answer->records->len);
+}
+
+/* The leaf's answer untouched, but for what concerns one connection. */
+static void
+write_leaf(GString *out, const tier_answer_t *answer)
+{
+	static const char *const none[] = { NULL };
+	const http_message_t *message = answer->leaf_answer;
+	const char *length = http_get_header(message, "content-length");
+
+	http_append_end_to_end(out, message, none);
+	if (message->is_without_body && length != NULL)
+		g_string_append_printf(out, "Content-Length: %s\r\n\r\n",
+		    length);
+	else if (answer->status == 204 || answer->status == 304)
+		g_string_append(out, "\r\n");
+	else
+		g_string_append_printf(out,
+		    "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
+		    message->body->len);
+	g_string_append_len(
+	    out, message->body->str, (gssize)message->body->len);
+}
+
+void
+entrance_answer(void *caller, const tier_answer_t *answer)
+{
+	caller_link_t *link = caller;
+	entrance_t *entrance = link->entrance;
+	GString *out = g_string_truncate(entrance->scratch, 0);
+
+	if (!link->message.is_persistent || entrance->is_closing)
+		link->is_closing = true;
+	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", answer->status,
+	    http_get_reason(answer->status));
+	if (link->is_closing)
+		g_string_append(out, "Connection: close\r\n");
+	switch (answer->type) {
+	case ANSWER_OWN:
+		write_own(out, answer);
+		break;
+	case ANSWER_GATHER:
+		write_gather(out, entrance->protocol, answer);
+		break;
+	case ANSWER_LEAF:
+		write_leaf(out, answer);
+		break;
+	}
+	stream_write(link->stream, out->str, out->len);
+	link->request = NULL;
+	link->is_working = false;
+	entrance->ended_count++;
+	link->is_ended = true; /* reset once no caller's string is in use */
+	entrance->busy_count--;
+	loop_wake(entrance->loop);
+}
+
+/* ---- Requests --------------------------------------------------------------- */
+
+static void
+begin_request(caller_link_t *link)
+{
+	entrance_t *entrance = link->entrance;
+	int64_t now_us = clock_get_us();
+	tier_ask_t ask = { .arrived_us = now_us };
+	tier_answer_t answer = { .type = ANSWER_OWN, .status = 400 };
+	tier_request_t *request;
+
+	link->is_working = true;
+	entrance->busy_count++;
+	ask.host = http_get_header(&link->message, "host");
+	ask.target = http_get_target(&link->message);
+	entrance->protocol->read_ask(&link->message, &ask);
+	if (ask.host == NULL || ask.target[0] != '/' || !ask.has_id) {
+		metric_add(METRIC_BAD_REQUESTS, 1);
+		answer.reason = "Host, a path and a request id are needed";
+		entrance_answer(link, &answer);
+		return;
+	}
+	request = tier_begin(entrance->tier, now_us, &ask, link);
+	if (!link->is_ended)
+		link->request = request;
+}
+
+static void
+refuse_message(caller_link_t *link, int status, const char *reason)
+{
+	tier_answer_t answer = { .type = ANSWER_OWN,
+		.status = status,
+		.reason = reason };
+
+	metric_add(METRIC_BAD_REQUESTS, 1);
+	link->is_working = true;
+	link->entrance->busy_count++;
+	link->is_closing = true;
+	entrance_answer(link, &answer);
+}
+
+/* Feeds bytes until a request is whole; the rest waits for its answer. */
+static void
+feed_link(caller_link_t *link, const char *data, size_t length)
+{
+	size_t used;
+
+	if (!link->message.is_begun && length > 0)
+		link->since_us = clock_get_us();
+	switch (http_message_feed(&link->message, data, length, &used)) {
+	case HTTP_PARTIAL:
+		if (link->message.has_head &&
+		    link->message.body->len == 0 &&
+		    http_get_header(&link->message, "expect") != NULL) {
+			static const char go_on[] =
+			    "HTTP/1.1 100 Continue\r\n\r\n";
+
+			stream_write(link->stream, go_on, sizeof(go_on) - 1);
+		}
+		return;
+	case HTTP_BROKEN:
+		if (link->message.is_too_large_head)
+			refuse_message(link, 431, "the headers are too large");
+		else if (link->message.is_too_large_body)
+			refuse_message(link, 413, "the body is too large");
+		else
+			refuse_message(link, 400, "not a valid request");
+		return;
+	case HTTP_COMPLETE:
+		g_string_append_len(
+		    link->backlog, data + used, (gssize)(length - used));
+		begin_request(link);
+		return;
+	}
+}
+
+static void
+handle_received(void *context, const char *data, size_t length)
+{
+	caller_link_t *link = context;
+
+	if (!link->is_working && !link->is_ended) {
+		feed_link(link, data, length);
+		return;
+	}
+	g_string_append_len(link->backlog, data, (gssize)length);
+	if (link->backlog->len > BACKLOG_BYTES)
+		stream_set_reading(link->stream, false);
+}
+
+static void
+handle_closed(void *context, bool is_clean)
+{
+	caller_link_t *link = context;
+
+	if (link->request != NULL)
+		tier_handle_gone(
+		    link->entrance->tier, clock_get_us(), link->request);
+	destroy_link(link);
+}
+
+/* After an answer: closes, or goes on with what has arrived meanwhile. */
+static void
+renew_link(caller_link_t *link, int64_t now_us)
+{
+	const caller_limits_t *limits = tier_get_limits(link->entrance->tier);
+	GString *backlog = link->backlog;
+
+	link->is_ended = false;
+	link->entrance->ended_count--;
+	if (link->is_closing) {
+		destroy_link(link);
+		return;
+	}
+	link->message.head_bytes_max = limits->head_bytes;
+	link->message.body_bytes_max = limits->body_bytes;
+	http_message_reset(&link->message);
+	link->since_us = now_us;
+	if (backlog->len == 0)
+		return;
+	link->backlog = g_string_new(NULL);
+	stream_set_reading(link->stream, true);
+	feed_link(link, backlog->str, backlog->len);
+	g_string_free(backlog, TRUE);
+}
+
+static void
+sweep_link(caller_link_t *link, int64_t now_us)
+{
+	const caller_limits_t *limits = tier_get_limits(link->entrance->tier);
+	int64_t age_us = now_us - link->since_us;
+
+	if (link->is_working)
+		return;
+	if (!link->message.is_begun && age_us > limits->idle_us)
+		destroy_link(link);
+	else if (link->message.is_begun && age_us > limits->read_us)
+		refuse_message(link, 408, "the request took too long");
+}
+
+static int64_t
+run_timer(void *context)
+{
+	entrance_t *entrance = context;
+	caller_link_t *link, *next;
+	int64_t now_us = clock_get_us();
+	bool is_sweep = now_us >= entrance->sweep_us;
+
+	if (is_sweep)
+		entrance->sweep_us = now_us + SWEEP_US;
+	else if (entrance->ended_count == 0)
+		return entrance->sweep_us;
+	for (link = LIST_FIRST(&entrance->links); link != NULL; link = next) {
+		next = LIST_NEXT(link, in_entrance);
+		if (link->is_ended)
+			renew_link(link, now_us);
+		else if (is_sweep)
+			sweep_link(link, now_us);
+	}
+	return LIST_EMPTY(&entrance->links) ? INT64_MAX : entrance->sweep_us;
+}
--- a/src/events.h
+++ b/src/events.h
@@ -67,3 +67,35 @@
     "invariant: an order was about to be sent a second time")
 LOG_EVENT(505, LOG_INVARIANT_REVERT, G_LOG_LEVEL_WARNING,
     "invariant: an older document was about to replace a newer one")
+LOG_EVENT(600, LOG_TIER_STARTED, G_LOG_LEVEL_MESSAGE,
+    "the process of one VM has started")
+LOG_EVENT(601, LOG_TIER_READY, G_LOG_LEVEL_MESSAGE,
+    "a configuration and the leafs are known; callers are served")
+LOG_EVENT(602, LOG_TIER_STOPPING, G_LOG_LEVEL_MESSAGE,
+    "a stop was asked for; the VM is not ready any more and serves on")
+LOG_EVENT(603, LOG_TIER_STOPPED, G_LOG_LEVEL_MESSAGE,
+    "the process ends; fields count what it leaves unanswered")
+LOG_EVENT(604, LOG_TIER_RELOADED, G_LOG_LEVEL_MESSAGE,
+    "the settings file was read again")
+LOG_EVENT(605, LOG_TIER_FROZEN, G_LOG_LEVEL_WARNING,
+    "the process did not run for a while")
+LOG_EVENT(610, LOG_TIER_CONFIGURATION, G_LOG_LEVEL_MESSAGE,
+    "a newer configuration is in force on this VM")
+LOG_EVENT(611, LOG_TIER_LEAF, G_LOG_LEVEL_MESSAGE,
+    "a leaf is new, draining, replaced or gone")
+LOG_EVENT(612, LOG_TIER_BAD_OBJECT, G_LOG_LEVEL_WARNING,
+    "an object of the store can't be used; what was good stays in force")
+LOG_EVENT(613, LOG_TIER_STALE, G_LOG_LEVEL_WARNING,
+    "the store gave an older configuration than the one in force")
+LOG_EVENT(614, LOG_TIER_STORE_LOST, G_LOG_LEVEL_WARNING,
+    "a feed of the store is lost; it is tried again with backoff")
+LOG_EVENT(615, LOG_TIER_STORE_REGAINED, G_LOG_LEVEL_MESSAGE,
+    "a feed of the store answers again")
+LOG_EVENT(620, LOG_TIER_SERVED, G_LOG_LEVEL_INFO,
+    "a request was answered whole, in time and without extra attempts")
+LOG_EVENT(621, LOG_TIER_SERVED_OTHERWISE, G_LOG_LEVEL_MESSAGE,
+    "a request ended late, partial, hedged, refused or failed")
+LOG_EVENT(622, LOG_TIER_ATTEMPT_FAILED, G_LOG_LEVEL_MESSAGE,
+    "a leaf did not answer an attempt with success")
+LOG_EVENT(690, LOG_LINES_DROPPED, G_LOG_LEVEL_WARNING,
+    "log lines were dropped; the field counts them")
--- /dev/null
+++ b/src/http.c
@@ -0,0 +1,295 @@
+/**
+ * @file http.c
+ * HTTP/1.1 messages over http-parser.
+ */
+#include <string.h>
+#include <strings.h>
+
+#include "http.h"
+
+#define HEADERS_MAX 100 /* headers of one message, as in common servers */
+
+static int on_target(http_parser *parser, const char *data, size_t length);
+static int on_name(http_parser *parser, const char *data, size_t length);
+static int on_value(http_parser *parser, const char *data, size_t length);
+static int on_head(http_parser *parser);
+static int on_body(http_parser *parser, const char *data, size_t length);
+static int on_complete(http_parser *parser);
+static bool is_named_by_connection(
+    const http_message_t *message, const char *name);
+
+static const http_parser_settings callbacks = {
+	.on_url = on_target,
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+/* RFC 9110, 7.6.1, and the framing headers, which are written anew. */
+static const char *const hop_by_hop[] = { "connection", "keep-alive",
+	"proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+	"trailer", "transfer-encoding", "upgrade", "content-length", "expect",
+	NULL };
+
+void
+http_message_begin(http_message_t *message, bool is_request,
+    size_t head_bytes_max, size_t body_bytes_max)
+{
+	memset(message, 0, sizeof(*message));
+	http_parser_init(
+	    &message->parser, is_request ? HTTP_REQUEST : HTTP_RESPONSE);
+	message->parser.data = message;
+	message->text = g_string_sized_new(512);
+	message->headers = g_array_new(FALSE, FALSE, sizeof(http_header_t));
+	message->body = g_string_sized_new(512);
+	message->head_bytes_max = head_bytes_max;
+	message->body_bytes_max = body_bytes_max;
+}
+
+void
+http_message_reset(http_message_t *message)
+{
+	enum http_parser_type type = message->parser.type;
+	GString *text = message->text, *body = message->body;
+	GArray *headers = message->headers;
+	size_t head_max = message->head_bytes_max;
+	size_t body_max = message->body_bytes_max;
+
+	memset(message, 0, sizeof(*message));
+	http_parser_init(&message->parser, type);
+	message->parser.data = message;
+	message->text = g_string_truncate(text, 0);
+	message->body = g_string_truncate(body, 0);
+	message->headers = g_array_set_size(headers, 0);
+	message->head_bytes_max = head_max;
+	message->body_bytes_max = body_max;
+}
+
+void
+http_message_end(http_message_t *message)
+{
+	if (message->text == NULL)
+		return;
+	g_string_free(message->text, TRUE);
+	g_string_free(message->body, TRUE);
+	g_array_unref(message->headers);
+	memset(message, 0, sizeof(*message));
+}
+
+http_state_t
+http_message_feed(http_message_t *message, const char *data, size_t length,
+    size_t *consumed)
+{
+	size_t used;
+
+	message->is_begun = message->is_begun || length > 0;
+	used = http_parser_execute(
+	    &message->parser, &callbacks, data, length);
+	*consumed = used;
+	if (message->is_complete) {
+		http_parser_pause(&message->parser, 0);
+		return HTTP_COMPLETE;
+	}
+	if (message->parser.http_errno != HPE_OK || message->parser.upgrade)
+		return HTTP_BROKEN;
+	if (!message->has_head &&
+	    message->parser.nread > message->head_bytes_max) {
+		message->is_too_large_head = true;
+		return HTTP_BROKEN;
+	}
+	return HTTP_PARTIAL;
+}
+
+http_state_t
+http_message_finish(http_message_t *message)
+{
+	if (!message->is_begun || !message->has_head)
+		return HTTP_BROKEN;
+	http_parser_execute(&message->parser, &callbacks, NULL, 0);
+	return message->is_complete ? HTTP_COMPLETE : HTTP_BROKEN;
+}
+
+const char *
+http_get_header(const http_message_t *message, const char *name)
+{
+	for (guint i = 0; i < message->headers->len; i++) {
+		const http_header_t *header =
+		    &g_array_index(message->headers, http_header_t, i);
+
+		if (strcasecmp(message->text->str + header->name, name) == 0)
+			return message->text->str + header->value;
+	}
+	return NULL;
+}
+
+const char *
+http_get_method(const http_message_t *message)
+{
+	return http_method_str(message->parser.method);
+}
+
+const char *
+http_get_target(const http_message_t *message)
+{
+	return message->text->str + message->target;
+}
+
+void
+http_append_end_to_end(
+    GString *out, const http_message_t *message, const char *const *except)
+{
+	for (guint i = 0; i < message->headers->len; i++) {
+		const http_header_t *header =
+		    &g_array_index(message->headers, http_header_t, i);
+		const char *name = message->text->str + header->name;
+		bool is_kept = !is_named_by_connection(message, name);
+
+		for (int j = 0; is_kept && hop_by_hop[j] != NULL; j++)
+			is_kept = strcasecmp(name, hop_by_hop[j]) != 0;
+		for (int j = 0; is_kept && except[j] != NULL; j++)
+			is_kept = strcasecmp(name, except[j]) != 0;
+		if (!is_kept)
+			continue;
+		g_string_append(out, name);
+		g_string_append(out, ": ");
+		g_string_append(out, message->text->str + header->value);
+		g_string_append(out, "\r\n");
+	}
+}
+
+const char *
+http_get_reason(int status)
+{
+	return http_status_str((enum http_status)status);
+}
+
+static http_message_t *
+get_message(http_parser *parser)
+{
+	return parser->data;
+}
+
+static int
+on_target(http_parser *parser, const char *data, size_t length)
+{
+	g_string_append_len(get_message(parser)->text, data, (gssize)length);
+	return 0;
+}
+
+/* Ends the string that is open in the text, if any. */
+static void
+close_text(http_message_t *message)
+{
+	g_string_append_c(message->text, '\0');
+}
+
+static int
+on_name(http_parser *parser, const char *data, size_t length)
+{
+	http_message_t *message = get_message(parser);
+	http_header_t header;
+
+	if (message->has_head) /* trailers are not passed on */
+		return 0;
+	if (!message->is_value_next) {
+		if (message->headers->len >= HEADERS_MAX) {
+			message->is_too_large_head = true;
+			return -1;
+		}
+		close_text(message); /* the target or the value before */
+		header.name = (guint)message->text->len;
+		header.value = 0;
+		g_array_append_val(message->headers, header);
+		message->is_value_next = true;
+	}
+	g_string_append_len(message->text, data, (gssize)length);
+	message->is_value_open = false;
+	return 0;
+}
+
+static int
+on_value(http_parser *parser, const char *data, size_t length)
+{
+	http_message_t *message = get_message(parser);
+
+	if (message->has_head)
+		return 0;
+	if (!message->is_value_open) {
+		close_text(message);
+		g_array_index(message->headers, http_header_t,
+		    message->headers->len - 1)
+		    .value = (guint)message->text->len;
+		message->is_value_open = true;
+		message->is_value_next = false;
+	}
+	g_string_append_len(message->text, data, (gssize)length);
+	return 0;
+}
+
+/*
+ * Returns 1 for an answer without body. The length is refused as early as the
+ * headers tell it, so that no byte of an oversized body is kept.
+ */
+static int
+on_head(http_parser *parser)
+{
+	http_message_t *message = get_message(parser);
+
+	close_text(message);
+	message->has_head = true;
+	message->is_value_next = false;
+	message->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+	message->is_persistent = http_should_keep_alive(parser) != 0;
+	if (parser->nread > message->head_bytes_max) {
+		message->is_too_large_head = true;
+		return -1;
+	}
+	if (message->has_length && !message->is_without_body &&
+	    parser->content_length > message->body_bytes_max) {
+		message->is_too_large_body = true;
+		return -1;
+	}
+	return message->is_without_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *data, size_t length)
+{
+	http_message_t *message = get_message(parser);
+
+	if (message->body->len + length > message->body_bytes_max) {
+		message->is_too_large_body = true;
+		return -1;
+	}
+	g_string_append_len(message->body, data, (gssize)length);
+	return 0;
+}
+
+/* Pauses, so that bytes after the message are not taken for its own. */
+static int
+on_complete(http_parser *parser)
+{
+	get_message(parser)->is_complete = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static bool
+is_named_by_connection(const http_message_t *message, const char *name)
+{
+	const char *list = http_get_header(message, "connection");
+	size_t length = strlen(name);
+
+	while (list != NULL && *list != '\0') {
+		size_t skip = strspn(list, " \t,");
+		size_t word = strcspn(list + skip, " \t,");
+
+		if (word == length &&
+		    strncasecmp(list + skip, name, length) == 0)
+			return true;
+		list += skip + word;
+	}
+	return false;
+}
--- a/src/kernel.c
+++ b/src/kernel.c
@@ -13,7 +13,7 @@
 static int plugin_count;
 
 static const char *const kind_names[PLUGIN_KIND_COUNT] = { "admission", "queue",
-	"routing", "hedging", "limit" };
+	"routing", "hedging", "limit", "protocol" };
 
 void
 kernel_register(const plugin_t *plugin)
@@ -45,6 +45,16 @@
 	return NULL;
 }
 
+const plugin_t *
+kernel_find(plugin_kind_t kind, const char *name)
+{
+	for (int i = 0; i < plugin_count; i++)
+		if (plugins[i]->kind == kind &&
+		    strcmp(plugins[i]->name, name) == 0)
+			return plugins[i];
+	return NULL;
+}
+
 void
 kernel_print(void)
 {
--- a/src/log.c
+++ b/src/log.c
@@ -5,9 +5,11 @@
  * Each event has a number, a level and a line in docs/EVENTS.md, which
  * `plantainarch events` prints from the same list.
  */
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "plantainarch.h"
 
@@ -24,6 +26,21 @@
 #undef LOG_EVENT
 };
 
+#define BUFFER_BYTES	 262144 /* lines that the reader has not taken yet */
+#define LINES_A_SECOND	 200	/* of all events together */
+#define LINE_BYTES	 1024
+#define MICROSECONDS	 1000000
+
+/* Lines on their way to a descriptor that must not block the process. */
+static struct {
+	GMutex lock;
+	int fd;
+	GString *text;
+	int64_t second;
+	int lines, dropped;
+	bool is_begun;
+} buffer;
+
 static GLogLevelFlags lowest_level = G_LOG_LEVEL_MESSAGE;
 static bool writes_json = false;
 static bool is_begun = false;
@@ -85,6 +102,111 @@
 	log_write(NULL, event, text);
 }
 
+void
+log_begin_buffered(int fd)
+{
+	int flags = fcntl(fd, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+	buffer.fd = fd;
+	buffer.text = g_string_sized_new(4096);
+	buffer.is_begun = true;
+}
+
+/* Called with the lock held. */
+static void
+flush_buffer(void)
+{
+	ssize_t count;
+
+	if (buffer.text->len == 0)
+		return;
+	count = write(buffer.fd, buffer.text->str, buffer.text->len);
+	if (count > 0)
+		g_string_erase(buffer.text, 0, count);
+}
+
+void
+log_flush(void)
+{
+	if (!buffer.is_begun)
+		return;
+	g_mutex_lock(&buffer.lock);
+	flush_buffer();
+	g_mutex_unlock(&buffer.lock);
+}
+
+/* Called with the lock held: whether the rate and the room allow a line. */
+static bool
+admit_line(int64_t now_us, size_t length)
+{
+	if (now_us / MICROSECONDS != buffer.second) {
+		buffer.second = now_us / MICROSECONDS;
+		buffer.lines = 0;
+		if (buffer.dropped > 0)
+			g_string_append_printf(buffer.text,
+			    "{\"time_us\":%" G_GINT64_FORMAT
+			    ",\"event\":%d,\"name\":\"LOG_LINES_DROPPED\","
+			    "\"count\":%d}\n",
+			    now_us, (int)LOG_LINES_DROPPED, buffer.dropped);
+		buffer.dropped = 0;
+	}
+	if (buffer.lines < LINES_A_SECOND &&
+	    buffer.text->len + length < BUFFER_BYTES) {
+		buffer.lines++;
+		return true;
+	}
+	buffer.dropped++;
+	metric_add(METRIC_LOG_DROPPED, 1);
+	return false;
+}
+
+void
+log_write_fields(void *context, log_event_t event, const char *fields)
+{
+	const log_event_info_t *info = find_event(event);
+	char line[LINE_BYTES];
+	int64_t now_us;
+	int length;
+
+	if (info->level > lowest_level)
+		return;
+	if (!buffer.is_begun) {
+		log_write(context, event, fields);
+		return;
+	}
+	now_us = clock_get_wall_us();
+	length = snprintf(line, sizeof(line),
+	    "{\"time_us\":%" G_GINT64_FORMAT
+	    ",\"event\":%d,\"name\":\"%s\",%s}\n",
+	    now_us, (int)event, info->name, fields);
+	if (length >= (int)sizeof(line)) { /* cut: still one valid line */
+		length = snprintf(line, sizeof(line),
+		    "{\"time_us\":%" G_GINT64_FORMAT
+		    ",\"event\":%d,\"name\":\"%s\",\"cut\":true}\n",
+		    now_us, (int)event, info->name);
+	}
+	g_mutex_lock(&buffer.lock);
+	if (admit_line(now_us, (size_t)length))
+		g_string_append_len(buffer.text, line, length);
+	g_mutex_unlock(&buffer.lock);
+}
+
+void
+log_fields(log_event_t event, const char *format, ...)
+{
+	va_list arguments;
+	char fields[LINE_BYTES];
+
+	if (!log_is_enabled(event))
+		return;
+	va_start(arguments, format);
+	vsnprintf(fields, sizeof(fields), format, arguments);
+	va_end(arguments);
+	log_write_fields(NULL, event, fields);
+}
+
 void
 log_print_catalogue(void)
 {
--- a/src/loop.c
+++ b/src/loop.c
@@ -15,6 +15,7 @@
 typedef struct watch {
 	loop_fn_t callback;
 	void *context;
+	uint32_t generation; /* tells events of a descriptor used again */
 	bool is_set;
 } watch_t;
 
@@ -57,7 +58,7 @@
 loop_set_fd(
     loop_t *loop, int fd, uint32_t events, loop_fn_t callback, void *context)
 {
-	struct epoll_event change = { .events = events, .data.fd = fd };
+	struct epoll_event change = { .events = events };
 	watch_t *watch;
 
 	if (fd < 0 || fd >= FDS_MAX)
@@ -65,6 +66,7 @@
 	if (loop->watches->len <= (guint)fd)
 		g_array_set_size(loop->watches, (guint)fd + 1);
 	watch = &g_array_index(loop->watches, watch_t, fd);
+	change.data.u64 = (uint64_t)watch->generation << 32 | (uint32_t)fd;
 	/* A descriptor closed and opened again is unknown to epoll. */
 	if (!watch->is_set ||
 	    epoll_ctl(loop->epoll_fd, EPOLL_CTL_MOD, fd, &change) != 0)
@@ -81,6 +83,7 @@
 		return;
 	epoll_ctl(loop->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
 	g_array_index(loop->watches, watch_t, fd).is_set = false;
+	g_array_index(loop->watches, watch_t, fd).generation++;
 }
 
 void
@@ -116,11 +119,12 @@
 		    loop->epoll_fd, events, EVENTS_PER_WAIT, wait_ms);
 
 		for (int i = 0; i < count; i++) {
-			int fd = events[i].data.fd;
+			int fd = (int)(uint32_t)events[i].data.u64;
 			watch_t watch =
 			    g_array_index(loop->watches, watch_t, fd);
 
-			if (watch.is_set)
+			if (watch.is_set &&
+			    watch.generation == events[i].data.u64 >> 32)
 				watch.callback(
 				    watch.context, fd, events[i].events);
 		}
--- a/src/main.c
+++ b/src/main.c
@@ -20,6 +20,7 @@
 
 static const command_t commands[] = {
 	{ "serve", command_serve, "run one VM's process" },
+	{ "tier", command_tier, "run one VM of the tier on a platform" },
 	{ "check", command_check,
 	    "check settings files, listing every problem" },
 	{ "search", command_search, "send one search and print the answer" },
--- a/src/metrics_list.h
+++ b/src/metrics_list.h
@@ -45,3 +45,28 @@
     "version of the settings in force")
 METRIC(METRIC_MEMBERS_ALIVE, "members_alive",
     "members believed alive, this VM included")
+METRIC(METRIC_TIER_REQUESTS, "tier_requests_total",
+    "requests of callers that named a route or none")
+METRIC(METRIC_TIER_SERVED, "tier_served_total", "requests answered with success")
+METRIC(METRIC_TIER_PARTIAL, "tier_partial_total",
+    "gathered answers that leave shards out")
+METRIC(METRIC_TIER_REFUSED, "tier_refused_total",
+    "requests refused before any leaf can have run them")
+METRIC(METRIC_TIER_FAILED, "tier_failed_total",
+    "requests that leafs failed or did not answer")
+METRIC(METRIC_TIER_LEAF_REQUESTS, "tier_leaf_requests_total",
+    "requests sent to leafs, extra ones included")
+METRIC(METRIC_TIER_EXTRA, "tier_extra_total", "hedges and retries sent")
+METRIC(METRIC_TIER_BUDGET_EMPTY, "tier_budget_empty_total",
+    "hedges and retries that the budget did not allow")
+METRIC(METRIC_TIER_CONNECTIONS_OPENED, "tier_connections_opened_total",
+    "connections opened to leafs")
+METRIC(METRIC_TIER_VERSION, "tier_configuration_version",
+    "version of the configuration in force")
+METRIC(METRIC_TIER_VMS, "tier_vms", "VMs of the tier that live")
+METRIC(METRIC_TIER_STORE_CALLS, "tier_store_calls_total",
+    "calls to the platform's store")
+METRIC(METRIC_TIER_STORE_FAILURES, "tier_store_failures_total",
+    "calls to the platform's store without a usable answer")
+METRIC(METRIC_LOG_DROPPED, "log_dropped_total",
+    "log lines dropped because their reader or their rate was too slow")
--- a/src/plantainarch.h
+++ b/src/plantainarch.h
@@ -61,6 +61,12 @@
     const char *text); /* one line; a log_fn_t */
 void log_printf(log_event_t event, const char *format, ...)
     G_GNUC_PRINTF(2, 3);	/* one formatted line */
+void log_fields(log_event_t event, const char *format, ...)
+    G_GNUC_PRINTF(2, 3); /* a JSON fragment: "\"id\":\"r1\",..." */
+void log_write_fields(
+    void *context, log_event_t event, const char *fields); /* a log_fn_t */
+void log_begin_buffered(int fd); /* log_fields never blocks from here on */
+void log_flush(void);		 /* writes what the descriptor takes */
 void log_print_catalogue(void); /* all events as a Markdown table */
 
 /* ---- Metrics: counters of this process ----------------------------------- */
@@ -410,6 +416,7 @@
 	PLUGIN_ROUTING,
 	PLUGIN_HEDGING,
 	PLUGIN_LIMIT,
+	PLUGIN_PROTOCOL, /* what a platform speaks; see tier_shell.h */
 	PLUGIN_KIND_COUNT
 } plugin_kind_t;
 
@@ -423,6 +430,7 @@
     const plugin_t *plugin); /* from a constructor, before main */
 const plugin_t *kernel_find_choice(
     plugin_kind_t kind, setting_key_t key, int64_t choice);
+const plugin_t *kernel_find(plugin_kind_t kind, const char *name);
 void kernel_print(void); /* lists what has registered */
 
 #define PLUGIN_REGISTER(plugin)                                          \
@@ -826,6 +834,7 @@
 int command_settings(int argc, char **argv);
 int command_load(int argc, char **argv);
 int command_keys(int argc, char **argv);
+int command_tier(int argc, char **argv);
 char *command_read_file(const char *path, size_t *length,
     error_info_t *error); /* free with g_free */
 int command_report(const char *command,
--- /dev/null
+++ b/src/reach.c
@@ -0,0 +1,83 @@
+/**
+ * @file reach.c
+ * Chooses the leaf for one attempt by the time that it is expected to take.
+ */
+#include "tier.h"
+
+/* Costs in microseconds of expected time, added to the leaf's own. */
+#define REGION_COST_US	 2000	/* bytes between zones are paid for */
+#define REMOTE_COST_US	 6000	/* bytes between regions are paid for */
+#define STALL_COST_US	 200000 /* length of the pauses that leafs take */
+#define FAILURE_COST_US	 300000 /* a failed request is sent again */
+#define VANISHED_COST_US 400000 /* used only where nothing else is left */
+#define JITTER		 0.05	/* spreads VMs that believe the same */
+
+static bool
+is_excluded(const reach_exclude_t *exclude, const tier_leaf_t *leaf)
+{
+	for (int i = 0; i < exclude->count; i++)
+		if (exclude->leafs[i] == leaf)
+			return true;
+	return false;
+}
+
+static bool
+is_usable(const tier_leaf_t *leaf, int64_t now_us)
+{
+	return !leaf->is_gone && !leaf->is_moved && !leaf->entry.is_draining &&
+	       now_us >= leaf->belief.down_until_us;
+}
+
+static double
+get_cost_us(
+    const tier_leaf_t *leaf, const kind_belief_t *kind, int64_t now_us)
+{
+	static const double distance_cost[] = { 0, REGION_COST_US,
+		REMOTE_COST_US };
+	const leaf_belief_t *belief = &leaf->belief;
+	double work = kind->work_us * belief->speed;
+	double cost = (double)*leaf->rtt_us + distance_cost[leaf->distance];
+
+	cost += work * (1.0 + (double)leaf->in_flight / leaf->entry.slots);
+	cost += belief->failures * FAILURE_COST_US;
+	if (belief->is_stalled)
+		cost += STALL_COST_US;
+	if (leaf->entry.is_vanished)
+		cost += VANISHED_COST_US;
+	return cost;
+}
+
+reach_result_t
+reach_choose(const tier_service_t *service, const kind_belief_t *kind,
+    const reach_exclude_t *exclude, int64_t now_us, gsl_rng *random,
+    tier_leaf_t **leaf, int64_t *expected_us)
+{
+	reach_result_t result = REACH_NONE;
+	double best = 0;
+	tier_leaf_t *each;
+
+	*leaf = NULL;
+	LIST_FOREACH(each, &service->leafs, in_service)
+	{
+		double cost;
+
+		if (is_excluded(exclude, each) || !is_usable(each, now_us))
+			continue;
+		if (each->in_flight >= each->limit) {
+			if (result == REACH_NONE)
+				result = REACH_BUSY;
+			continue;
+		}
+		cost = get_cost_us(each, kind, now_us) *
+		       (1.0 + JITTER * gsl_rng_uniform(random));
+		if (*leaf != NULL && cost >= best)
+			continue;
+		*leaf = each;
+		best = cost;
+		result = REACH_FOUND;
+	}
+	if (*leaf != NULL)
+		*expected_us = belief_get_expected_us(
+		    kind, &(*leaf)->belief, *(*leaf)->rtt_us);
+	return result;
+}
--- /dev/null
+++ b/src/source.c
@@ -0,0 +1,606 @@
+/**
+ * @file source.c
+ * Follows the platform's store: the configuration, the leafs and the VMs.
+ *
+ * Each feed has a connection of its own: it lists once, then watches from the
+ * revision of the list, and lists anew when the history is gone. What was read
+ * stays in force while the store can't be reached.
+ */
+#include <string.h>
+
+#include "tier_shell.h"
+
+#define ANSWER_HEAD_BYTES  16384
+#define ANSWER_BODY_BYTES  8388608
+#define WATCH_WAIT_MS	   30000   /* the longest that the store allows */
+#define WATCH_SLACK_US	   2000000 /* a watch that is silent longer is dead */
+#define CALL_TIMEOUT_US	   1500000 /* answers take milliseconds */
+#define BACKOFF_FIRST_US   100000
+#define BACKOFF_MOST_US	   800000 /* a regained store is used within 1 s */
+#define VANISH_US	   2000000 /* entries lost in an outage are back by then */
+#define VM_POLL_US	   10000000
+#define VM_POLL_FIRST_US   1500000 /* all VMs start within 0.3 s */
+#define VM_BEAT_US	   15000000
+#define VM_LAPSE_US	   35000000 /* two beats and a call */
+#define PUBLISH_DELAY_US   2000 /* changes that arrive together */
+
+typedef enum feed_step {
+	STEP_RESTING, /* until next_us */
+	STEP_LISTING,
+	STEP_WATCHING,
+	STEP_WRITING /* FEED_VMS: this VM's own entry */
+} feed_step_t;
+
+typedef struct feed_state {
+	source_t *source;
+	feed_t feed;
+	feed_step_t step;
+	stream_t *stream;
+	http_message_t message;
+	bool is_in_call, is_listed, is_lost;
+	int64_t revision;
+	int64_t next_us, timeout_us, backoff_us;
+	char after[KEY_BYTES];
+	GHashTable *seen; /* names of the list in progress */
+} feed_state_t;
+
+typedef struct leaf_record {
+	leaf_entry_t entry;
+	int64_t vanished_us; /* 0: its entry is there */
+} leaf_record_t;
+
+typedef struct vm_record {
+	int64_t revision, changed_us;
+} vm_record_t;
+
+struct source {
+	loop_t *loop;
+	const protocol_t *protocol;
+	tier_settings_t settings;
+	source_hooks_t hooks;
+	feed_state_t feeds[FEED_COUNT];
+	route_table_t *table;
+	GHashTable *leafs; /* id -> leaf_record_t */
+	GHashTable *vms;   /* name -> vm_record_t */
+	bool is_changed, is_vm_known, is_leaving;
+	int64_t publish_us, vanish_due_us, beat_us, beat;
+};
+
+static void handle_received(void *context, const char *data, size_t length);
+static void handle_closed(void *context, bool is_clean);
+static int64_t run_timer(void *context);
+static void begin_step(feed_state_t *feed, int64_t now_us);
+
+static const stream_hooks_t stream_hooks = { NULL, handle_received,
+	handle_closed };
+
+static const char *const feed_names[FEED_COUNT] = { "configuration", "leafs",
+	"vms" };
+
+source_t *
+source_create(loop_t *loop, const protocol_t *protocol,
+    const tier_settings_t *settings, const source_hooks_t *hooks)
+{
+	source_t *source = g_new0(source_t, 1);
+	int64_t now_us = clock_get_us();
+
+	source->loop = loop;
+	source->protocol = protocol;
+	source->settings = *settings;
+	source->hooks = *hooks;
+	source->leafs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	source->vms =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	source->vanish_due_us = INT64_MAX;
+	for (int i = 0; i < FEED_COUNT; i++) {
+		feed_state_t *feed = &source->feeds[i];
+
+		feed->source = source;
+		feed->feed = (feed_t)i;
+		feed->seen = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, g_free, NULL);
+		http_message_begin(&feed->message, false, ANSWER_HEAD_BYTES,
+		    ANSWER_BODY_BYTES);
+		feed->next_us = now_us;
+	}
+	loop_add_timer(loop, run_timer, source);
+	return source;
+}
+
+void
+source_destroy(source_t *source)
+{
+	loop_remove_timer(source->loop, run_timer, source);
+	for (int i = 0; i < FEED_COUNT; i++) {
+		stream_destroy(source->feeds[i].stream);
+		http_message_end(&source->feeds[i].message);
+		g_hash_table_unref(source->feeds[i].seen);
+	}
+	route_table_release(source->table);
+	g_hash_table_unref(source->leafs);
+	g_hash_table_unref(source->vms);
+	g_free(source);
+}
+
+static void
+mark_changed(source_t *source)
+{
+	if (!source->is_changed)
+		source->publish_us = clock_get_us() + PUBLISH_DELAY_US;
+	source->is_changed = true;
+	loop_wake(source->loop);
+}
+
+/* ---- What the store says ----------------------------------------------------- */
+
+static void
+take_configuration(void *context, route_table_t *table)
+{
+	feed_state_t *feed = context;
+	source_t *source = feed->source;
+
+	if (source->table != NULL &&
+	    table->version <= source->table->version) {
+		if (table->version < source->table->version)
+			log_fields(LOG_TIER_STALE,
+			    "\"version\":%" G_GUINT64_FORMAT
+			    ",\"in_force\":%" G_GUINT64_FORMAT,
+			    table->version, source->table->version);
+		route_table_release(table);
+		return;
+	}
+	route_table_release(source->table);
+	source->table = table;
+	metric_set(METRIC_TIER_VERSION, (int64_t)table->version);
+	mark_changed(source);
+}
+
+static void
+take_leaf(void *context, const leaf_entry_t *entry)
+{
+	feed_state_t *feed = context;
+	source_t *source = feed->source;
+	leaf_record_t *record = g_hash_table_lookup(source->leafs, entry->id);
+
+	if (feed->step == STEP_LISTING)
+		g_hash_table_add(feed->seen, g_strdup(entry->id));
+	if (record == NULL) {
+		record = g_new0(leaf_record_t, 1);
+		record->entry = *entry;
+		g_hash_table_insert(
+		    source->leafs, record->entry.id, record);
+	} else {
+		record->entry = *entry;
+		record->vanished_us = 0;
+	}
+	mark_changed(source);
+}
+
+static void
+take_vm(void *context, const char *name, int64_t revision)
+{
+	feed_state_t *feed = context;
+	source_t *source = feed->source;
+	vm_record_t *record = g_hash_table_lookup(source->vms, name);
+
+	if (feed->step == STEP_LISTING)
+		g_hash_table_add(feed->seen, g_strdup(name));
+	if (record == NULL) {
+		record = g_new0(vm_record_t, 1);
+		g_hash_table_insert(source->vms, g_strdup(name), record);
+	}
+	if (record->revision == revision)
+		return;
+	record->revision = revision;
+	record->changed_us = clock_get_us();
+}
+
+static void
+vanish_leaf(source_t *source, leaf_record_t *record)
+{
+	if (record->vanished_us != 0)
+		return;
+	record->vanished_us = clock_get_us();
+	record->entry.is_vanished = true;
+	source->vanish_due_us = MIN(
+	    source->vanish_due_us, record->vanished_us + VANISH_US);
+	mark_changed(source);
+}
+
+static void
+take_removal(void *context, feed_t which, const char *name)
+{
+	feed_state_t *feed = context;
+	leaf_record_t *record;
+
+	if (which != FEED_LEAFS)
+		return;
+	record = g_hash_table_lookup(feed->source->leafs, name);
+	if (record != NULL)
+		vanish_leaf(feed->source, record);
+}
+
+/* What can't be read names no leaf; a configuration stays as it was. */
+static void
+reject(void *context, feed_t which, const char *name, const char *why)
+{
+	feed_state_t *feed = context;
+
+	log_fields(LOG_TIER_BAD_OBJECT,
+	    "\"feed\":\"%s\",\"name\":\"%s\",\"why\":\"%s\"",
+	    feed_names[which], name, why);
+	if (which == FEED_LEAFS && g_hash_table_remove(feed->source->leafs, name))
+		mark_changed(feed->source);
+}
+
+static const feed_sink_t sink_callbacks = { NULL, take_configuration,
+	take_leaf, take_vm, take_removal, reject };
+
+static void
+vanish_unlisted(feed_state_t *feed)
+{
+	GHashTableIter iter;
+	gpointer name, record;
+
+	g_hash_table_iter_init(&iter, feed->source->leafs);
+	while (g_hash_table_iter_next(&iter, &name, &record))
+		if (!g_hash_table_contains(feed->seen, name))
+			vanish_leaf(feed->source, record);
+}
+
+static gboolean
+is_lapsed(gpointer name, gpointer value, gpointer context)
+{
+	const vm_record_t *record = value;
+	feed_state_t *feed = context;
+
+	return !g_hash_table_contains(feed->seen, name) ||
+	       clock_get_us() - record->changed_us > VM_LAPSE_US;
+}
+
+static void
+finish_list(feed_state_t *feed)
+{
+	source_t *source = feed->source;
+
+	feed->is_listed = true;
+	if (feed->feed == FEED_LEAFS)
+		vanish_unlisted(feed);
+	if (feed->feed == FEED_VMS) {
+		guint before = g_hash_table_size(source->vms);
+
+		g_hash_table_foreach_remove(source->vms, is_lapsed, feed);
+		if (!source->is_vm_known ||
+		    before != g_hash_table_size(source->vms))
+			mark_changed(source);
+		source->is_vm_known = true;
+		metric_set(METRIC_TIER_VMS,
+		    (int64_t)g_hash_table_size(source->vms));
+	}
+	mark_changed(source);
+}
+
+/* ---- Calls --------------------------------------------------------------------- */
+
+static void
+rest(feed_state_t *feed, int64_t now_us, int64_t delay_us)
+{
+	feed->step = STEP_RESTING;
+	feed->is_in_call = false;
+	feed->next_us = now_us + delay_us;
+}
+
+/* A call failed: the connection is not used again. */
+static void
+fail_call(feed_state_t *feed, const char *why)
+{
+	int64_t now_us = clock_get_us();
+
+	stream_destroy(feed->stream);
+	feed->stream = NULL;
+	http_message_reset(&feed->message);
+	feed->backoff_us =
+	    CLAMP(feed->backoff_us * 2, BACKOFF_FIRST_US, BACKOFF_MOST_US);
+	if (!feed->is_lost)
+		log_fields(LOG_TIER_STORE_LOST,
+		    "\"feed\":\"%s\",\"why\":\"%s\",\"revision\":%"
+		    G_GINT64_FORMAT,
+		    feed_names[feed->feed], why, feed->revision);
+	feed->is_lost = true;
+	metric_add(METRIC_TIER_STORE_FAILURES, 1);
+	rest(feed, now_us, feed->backoff_us);
+}
+
+static void
+send_call(feed_state_t *feed, const GString *call, int64_t timeout_us)
+{
+	source_t *source = feed->source;
+
+	if (feed->stream == NULL)
+		feed->stream = stream_connect(source->loop,
+		    source->settings.platform, &stream_hooks, feed);
+	if (feed->stream == NULL) {
+		fail_call(feed, "cannot connect");
+		return;
+	}
+	feed->is_in_call = true;
+	feed->timeout_us = clock_get_us() + timeout_us;
+	metric_add(METRIC_TIER_STORE_CALLS, 1);
+	stream_write(feed->stream, call->str, call->len);
+}
+
+static void
+send_list(feed_state_t *feed)
+{
+	GString *call = g_string_new(NULL);
+
+	if (feed->step != STEP_LISTING) {
+		feed->step = STEP_LISTING;
+		feed->after[0] = '\0';
+		g_hash_table_remove_all(feed->seen);
+	}
+	feed->source->protocol->write_list(call, feed->feed, feed->after);
+	send_call(feed, call, CALL_TIMEOUT_US);
+	g_string_free(call, TRUE);
+}
+
+static void
+send_watch(feed_state_t *feed)
+{
+	GString *call = g_string_new(NULL);
+
+	feed->step = STEP_WATCHING;
+	feed->source->protocol->write_watch(
+	    call, feed->feed, feed->revision, WATCH_WAIT_MS);
+	send_call(feed, call, WATCH_WAIT_MS * 1000L + WATCH_SLACK_US);
+	g_string_free(call, TRUE);
+}
+
+/* Writes this VM's entry, or takes it away. */
+static void
+send_beat(feed_state_t *feed, int64_t now_us)
+{
+	source_t *source = feed->source;
+	GString *call = g_string_new(NULL);
+
+	feed->step = STEP_WRITING;
+	source->beat_us = now_us + VM_BEAT_US;
+	if (source->is_leaving)
+		source->protocol->write_vm_removal(call, source->settings.id);
+	else
+		source->protocol->write_vm(call, source->settings.id,
+		    source->settings.callers, source->beat == 0, source->beat);
+	send_call(feed, call, CALL_TIMEOUT_US);
+	g_string_free(call, TRUE);
+}
+
+static void
+begin_step(feed_state_t *feed, int64_t now_us)
+{
+	source_t *source = feed->source;
+
+	if (feed->feed == FEED_VMS) {
+		if (now_us >= source->beat_us)
+			send_beat(feed, now_us);
+		else if (!source->is_leaving)
+			send_list(feed);
+	} else if (feed->is_listed)
+		send_watch(feed);
+	else
+		send_list(feed);
+}
+
+static void
+note_regained(feed_state_t *feed)
+{
+	feed->backoff_us = 0;
+	if (!feed->is_lost)
+		return;
+	feed->is_lost = false;
+	log_fields(LOG_TIER_STORE_REGAINED,
+	    "\"feed\":\"%s\",\"revision\":%" G_GINT64_FORMAT,
+	    feed_names[feed->feed], feed->revision);
+}
+
+/* What follows this VM's own write: 409 and 404 tell which form is right. */
+static void
+handle_written(feed_state_t *feed, int status, int64_t now_us)
+{
+	source_t *source = feed->source;
+
+	if (status == 409)
+		source->beat = MAX(source->beat, 1);
+	else if (status == 404)
+		source->beat = 0;
+	else
+		source->beat++;
+	if (status == 409 || status == 404)
+		source->beat_us = now_us + BACKOFF_FIRST_US;
+	rest(feed, now_us,
+	    source->is_vm_known ? VM_POLL_US / 10 : VM_POLL_FIRST_US);
+}
+
+static void
+handle_page(feed_state_t *feed, int64_t now_us)
+{
+	const protocol_t *protocol = feed->source->protocol;
+	bool is_list = feed->step == STEP_LISTING;
+	feed_sink_t sink = sink_callbacks;
+	feed_page_t page = { 0 };
+	error_info_t error = { 0 };
+	bool is_good;
+
+	sink.context = feed;
+	is_good = (is_list ? protocol->read_list
+			   : protocol->read_events)(feed->feed,
+	    feed->message.body->str, feed->message.body->len, &sink, &page,
+	    &error);
+	if (!is_good) {
+		feed->is_listed = feed->is_listed && is_list;
+		fail_call(feed, error.text);
+		return;
+	}
+	note_regained(feed);
+	http_message_reset(&feed->message);
+	if (is_list && page.has_more) {
+		g_strlcpy(feed->after, page.after, sizeof(feed->after));
+		send_list(feed);
+		return;
+	}
+	feed->revision = page.revision;
+	if (is_list)
+		finish_list(feed);
+	rest(feed, now_us, feed->feed == FEED_VMS ? VM_POLL_US : 0);
+	loop_wake(feed->source->loop);
+}
+
+static void
+handle_answer(feed_state_t *feed)
+{
+	int status = (int)feed->message.parser.status_code;
+	bool is_kept = feed->message.is_persistent;
+	int64_t now_us = clock_get_us();
+
+	feed->is_in_call = false;
+	if (status == 410 && feed->step == STEP_WATCHING) {
+		/* The history is gone: what changed shows in a new list. */
+		feed->is_listed = false;
+		http_message_reset(&feed->message);
+		rest(feed, now_us, 0);
+		loop_wake(feed->source->loop);
+	} else if (feed->step == STEP_WRITING && status != 503 &&
+		   status != 429) {
+		http_message_reset(&feed->message);
+		note_regained(feed);
+		handle_written(feed, status, now_us);
+	} else if (status != 200) {
+		char why[64];
+
+		g_snprintf(why, sizeof(why), "status %d", status);
+		fail_call(feed, why);
+	} else
+		handle_page(feed, now_us);
+	if (!is_kept && feed->stream != NULL && !feed->is_in_call) {
+		stream_destroy(feed->stream);
+		feed->stream = NULL;
+	}
+}
+
+static void
+handle_received(void *context, const char *data, size_t length)
+{
+	feed_state_t *feed = context;
+	size_t used;
+
+	if (!feed->is_in_call) {
+		fail_call(feed, "bytes without a call");
+		return;
+	}
+	switch (http_message_feed(&feed->message, data, length, &used)) {
+	case HTTP_PARTIAL:
+		return;
+	case HTTP_BROKEN:
+		fail_call(feed, "not HTTP");
+		return;
+	case HTTP_COMPLETE:
+		handle_answer(feed);
+		return;
+	}
+}
+
+/*
+ * A connection that closes between calls is opened again with the next; one
+ * that closes in a call fails it.
+ */
+static void
+handle_closed(void *context, bool is_clean)
+{
+	feed_state_t *feed = context;
+
+	if (feed->is_in_call) {
+		fail_call(feed, is_clean ? "closed" : "reset");
+		return;
+	}
+	stream_destroy(feed->stream);
+	feed->stream = NULL;
+}
+
+void
+source_leave(source_t *source)
+{
+	source->is_leaving = true;
+	source->beat_us = 0;
+	source->feeds[FEED_VMS].next_us = 0;
+	loop_wake(source->loop);
+}
+
+/* ---- Publishing ------------------------------------------------------------------ */
+
+static void
+remove_vanished(source_t *source, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	source->vanish_due_us = INT64_MAX;
+	g_hash_table_iter_init(&iter, source->leafs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		leaf_record_t *record = value;
+
+		if (record->vanished_us == 0)
+			continue;
+		if (now_us >= record->vanished_us + VANISH_US) {
+			g_hash_table_iter_remove(&iter);
+			mark_changed(source);
+		} else
+			source->vanish_due_us = MIN(source->vanish_due_us,
+			    record->vanished_us + VANISH_US);
+	}
+}
+
+/* Nothing is served before both the routes and the leafs are known. */
+static void
+publish(source_t *source)
+{
+	directory_t *directory;
+	GHashTableIter iter;
+	gpointer value;
+
+	source->is_changed = false;
+	if (source->table == NULL || !source->feeds[FEED_LEAFS].is_listed)
+		return;
+	directory = directory_create(source->table,
+	    source->is_vm_known ? (int)g_hash_table_size(source->vms) : 0);
+	g_hash_table_iter_init(&iter, source->leafs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_array_append_val(
+		    directory->leafs, ((leaf_record_t *)value)->entry);
+	source->hooks.changed(source->hooks.context, directory);
+}
+
+static int64_t
+run_timer(void *context)
+{
+	source_t *source = context;
+	int64_t now_us = clock_get_us();
+	int64_t due_us = INT64_MAX;
+
+	for (int i = 0; i < FEED_COUNT; i++) {
+		feed_state_t *feed = &source->feeds[i];
+
+		if (feed->is_in_call && now_us >= feed->timeout_us)
+			fail_call(feed, "timeout");
+		if (!feed->is_in_call && now_us >= feed->next_us)
+			begin_step(feed, now_us);
+		due_us = MIN(due_us,
+		    feed->is_in_call ? feed->timeout_us : feed->next_us);
+	}
+	if (now_us >= source->vanish_due_us)
+		remove_vanished(source, now_us);
+	if (source->is_changed && now_us >= source->publish_us)
+		publish(source);
+	if (source->is_changed)
+		due_us = MIN(due_us, source->publish_us);
+	return MIN(due_us, source->vanish_due_us);
+}
