--- a/src/pool.c
+++ b/src/pool.c
@@ -117,17 +117,19 @@
 	pool_t *pool = owner->pool;
 	tier_attempt_t *attempt = link->attempt;
 	leaf_answer_t copy = *answer;
+	int64_t reuse_until_us = link->reuse_until_us;
 
+	/* The link's message is in use: no new request may take the link. */
+	link->reuse_until_us = 0;
 	link->attempt = NULL;
 	if (attempt != NULL)
 		attempt->connection = NULL;
-	is_kept = is_kept && !owner->is_forgotten;
 	if (attempt != NULL)
 		pool->hooks.answered(pool->hooks.context, attempt, &copy);
-	/* The answer may have led to a new request, but not on this link. */
-	if (is_kept)
+	if (is_kept && !owner->is_forgotten) {
 		http_message_reset(&link->message);
-	else
+		link->reuse_until_us = reuse_until_us;
+	} else
 		destroy_link(link);
 	destroy_if_unused(owner);
 }
@@ -137,7 +139,6 @@
 {
 	leaf_answer_t answer = { .outcome = outcome };
 
-	link->reuse_until_us = 0;
 	finish_link(link, &answer, false);
 }
 
--- a/src/tier.c
+++ b/src/tier.c
@@ -1165,6 +1165,18 @@
 	}
 }
 
+static void
+drop_attempt(tier_t *tier, tier_attempt_t *attempt)
+{
+	tier_leaf_t *leaf = attempt->leaf;
+
+	TAILQ_REMOVE(&tier->attempts, attempt, in_flight);
+	leaf->in_flight--;
+	g_free(attempt);
+	if (leaf->is_gone && leaf->in_flight == 0)
+		g_free(leaf);
+}
+
 /* Closes what nobody waits for and no leaf has answered in time. */
 static void
 sweep_attempts(tier_t *tier, int64_t now_us)
@@ -1183,9 +1195,7 @@
 		    belief_get_overdue_us(attempt->kind, &attempt->leaf->belief,
 			*attempt->leaf->rtt_us)) {
 			/* Closed early: it says nothing of the leaf. */
-			TAILQ_REMOVE(&tier->attempts, attempt, in_flight);
-			attempt->leaf->in_flight--;
-			g_free(attempt);
+			drop_attempt(tier, attempt);
 			continue;
 		}
 		tier_handle_answer(tier, now_us, attempt, &silent);
