--- a/src/loop.c
+++ b/src/loop.c
@@ -115,7 +115,11 @@
 
 	while (!loop->is_stopping) {
 		int wait_ms = run_timers(loop);
-		int count = epoll_wait(
+		int count;
+
+		if (loop->is_stopping)
+			break; /* what a timer has ended takes no more events */
+		count = epoll_wait(
 		    loop->epoll_fd, events, EVENTS_PER_WAIT, wait_ms);
 
 		for (int i = 0; i < count; i++) {
