Test the tier's decisions in virtual time, by pattern of load and fault

Nine VMs, 20 shards, leafs with slots, queues and pauses. Bounds are shares of what callers are owed.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 SOURCES = $(filter-out src/main.c,$(wildcard src/*.c)) $(wildcard platform/*.c)
 OBJECTS = $(SOURCES:%.c=$(BUILD)/%.o)
 STANDINS = $(BUILD)/platform $(BUILD)/upstream
+SUPPORT = $(wildcard tests/support/*.[ch])
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/*.c))
 
 EXAMPLES = $(patsubst examples/%.c,$(BUILD)/examples/%,$(wildcard examples/*.c))
@@ -52,11 +53,11 @@
 $(BUILD)/upstream: stand-ins/upstream.c stand-ins/stub.c $(OBJECTS)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/tests/%: tests/%.c tests/support/world.c tests/support/world.h $(OBJECTS)
+$(BUILD)/tests/%: tests/%.c $(SUPPORT) $(OBJECTS)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -Itests/support -o $@ $(filter-out %.h,$^) $(LIBS)
 
-$(BUILD)/bench/%: bench/%.c tests/support/world.c tests/support/world.h $(OBJECTS)
+$(BUILD)/bench/%: bench/%.c $(SUPPORT) $(OBJECTS)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -Itests/support -o $@ $(filter-out %.h,$^) $(LIBS)
 
--- /dev/null
+++ b/tests/support/tier_world.h
@@ -0,0 +1,66 @@
+/**
+ * @file tier_world.h
+ * The tier's decisions in virtual time: several VMs, leafs with slots, queues,
+ * pauses and faults, and callers in an open loop. A seed reproduces it all.
+ */
+#ifndef TIER_WORLD_H
+#define TIER_WORLD_H
+
+#include "tier.h"
+
+typedef struct tier_world tier_world_t;
+
+/** What goes wrong at the leafs chosen for a fault. */
+typedef enum world_fault {
+	FAULT_NONE,
+	FAULT_DARK,   /* nothing is heard of it */
+	FAULT_REFUSE, /* connections are refused */
+	FAULT_SLOW,   /* eight times the work */
+	FAULT_SHED,   /* refuses 45 of 100 requests without running them */
+	FAULT_ERROR,  /* fails 40 of 100 requests */
+	FAULT_MUTE    /* runs the request, its answer is lost */
+} world_fault_t;
+
+/** One kind of request in an open loop. */
+typedef struct world_flow {
+	const char *prefix; /* of the route: "/list/", "/lookup/", "/fetch/" */
+	double rate;	    /* a second, over all VMs */
+	double burst;	    /* times the rate from 4 s to 7 s; 0: none */
+} world_flow_t;
+
+typedef struct tier_world_options {
+	uint64_t seed;
+	int vms, zones, shards;
+	bool has_pauses; /* 200 ms in each 4.5 s, as the sites say */
+	world_flow_t flows[4];
+	int flow_count;
+	world_fault_t fault;
+	double fault_share;	/* of all leafs */
+	int fault_shard;	/* all leafs of this shard instead; -1: none */
+	int64_t fault_begin_us, fault_end_us;
+	int drain_leafs; /* so many drain at 4 s */
+	bool is_unrepeatable; /* "/fetch/" is not idempotent */
+} tier_world_options_t;
+
+/** What callers of one flow got. */
+typedef struct world_result {
+	int asked, in_time, late, partial, refused, failed;
+	double worth, owed; /* in multiples of one whole answer in time */
+} world_result_t;
+
+typedef struct world_totals {
+	int violations; /* of any invariant; each is printed */
+	int first, extra; /* requests that reached leafs */
+	int runs_twice, refused_but_ran, sent_to_drained;
+	int most_connections; /* in work at one leaf, from all VMs */
+	double refuse_ms;     /* mean time until a refusal */
+} world_totals_t;
+
+tier_world_t *tier_world_create(const tier_world_options_t *options);
+void tier_world_destroy(tier_world_t *world);
+void tier_world_run(tier_world_t *world, int64_t until_us);
+const world_result_t *tier_world_get_result(
+    const tier_world_t *world, int flow);
+const world_totals_t *tier_world_get_totals(const tier_world_t *world);
+
+#endif
--- /dev/null
+++ b/tests/tier_load.c
@@ -0,0 +1,218 @@
+/**
+ * @file tier_load.c
+ * Loads and faults that the tier must bear, each by the name of its pattern.
+ * Bounds are shares of what callers are owed.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "tier_world.h"
+
+#define RUN_US	  12000000
+#define SEEDS	  3
+#define FLOWS_ALL { { "/list/", 67.5, 0 }, { "/lookup/", 22.5, 0 }, \
+			  { "/fetch/", 22.5, 0 } }
+
+typedef struct pattern {
+	const char *name;
+	tier_world_options_t options;
+	double least[3]; /* worth of each flow, as a share of what is owed */
+	double refuse_ms; /* the most a refusal may take; 0: not checked */
+} pattern_t;
+
+/*
+ * The bounds are the targets: 0.95 of a calm day (design direction, ceiling
+ * 0.99), three quarters of a day with a tenth to a sixth of the leafs in
+ * trouble, and for a shard without any leaf the square of the rest.
+ */
+static const pattern_t patterns[] = {
+	{ "calm day",
+	    { .flows = FLOWS_ALL, .flow_count = 3, .fault_shard = -1 },
+	    { 0.95, 0.95, 0.95 }, 0 },
+	{ "pauses of leafs",
+	    { .flows = FLOWS_ALL,
+		.flow_count = 3,
+		.has_pauses = true,
+		.fault_shard = -1 },
+	    { 0.9, 0.9, 0.95 }, 0 },
+	{ "leafs fall silent",
+	    { .flows = FLOWS_ALL,
+		.flow_count = 3,
+		.has_pauses = true,
+		.fault = FAULT_DARK,
+		.fault_share = 0.14,
+		.fault_shard = -1,
+		.fault_begin_us = 3000000,
+		.fault_end_us = 8000000 },
+	    { 0.75, 0.75, 0.75 }, 0 },
+	{ "leafs refuse connections",
+	    { .flows = FLOWS_ALL,
+		.flow_count = 3,
+		.has_pauses = true,
+		.fault = FAULT_REFUSE,
+		.fault_share = 0.14,
+		.fault_shard = -1,
+		.fault_begin_us = 3000000,
+		.fault_end_us = 8000000 },
+	    { 0.75, 0.75, 0.75 }, 0 },
+	{ "leafs turn slow",
+	    { .flows = FLOWS_ALL,
+		.flow_count = 3,
+		.has_pauses = true,
+		.fault = FAULT_SLOW,
+		.fault_share = 0.15,
+		.fault_shard = -1,
+		.fault_begin_us = 3000000,
+		.fault_end_us = 9000000 },
+	    { 0.75, 0.75, 0.75 }, 0 },
+	{ "leafs shed with good health",
+	    { .flows = FLOWS_ALL,
+		.flow_count = 3,
+		.has_pauses = true,
+		.fault = FAULT_SHED,
+		.fault_share = 0.14,
+		.fault_shard = -1,
+		.fault_begin_us = 3000000,
+		.fault_end_us = 9000000 },
+	    { 0.75, 0.75, 0.75 }, 0 },
+	{ "leafs fail with good health",
+	    { .flows = FLOWS_ALL,
+		.flow_count = 3,
+		.has_pauses = true,
+		.fault = FAULT_ERROR,
+		.fault_share = 0.14,
+		.fault_shard = -1,
+		.fault_begin_us = 3000000,
+		.fault_end_us = 9000000 },
+	    { 0.75, 0.75, 0.75 }, 0 },
+	{ "answers of leafs are lost",
+	    { .flows = FLOWS_ALL,
+		.flow_count = 3,
+		.has_pauses = true,
+		.fault = FAULT_MUTE,
+		.fault_share = 0.14,
+		.fault_shard = -1,
+		.fault_begin_us = 3000000,
+		.fault_end_us = 9000000 },
+	    { 0.75, 0.75, 0.75 }, 0 },
+	{ "a shard without any leaf",
+	    { .flows = FLOWS_ALL,
+		.flow_count = 3,
+		.fault = FAULT_REFUSE,
+		.fault_shard = 2,
+		.fault_begin_us = 0,
+		.fault_end_us = RUN_US },
+	    { 0.85, 0.85, 0.95 }, 0 },
+	{ "many users at once",
+	    { .flows = { { "/list/", 67.5, 2 }, { "/lookup/", 22.5, 2 },
+		  { "/fetch/", 22.5, 2 } },
+		.flow_count = 3,
+		.has_pauses = true,
+		.fault_shard = -1 },
+	    { 0.75, 0.75, 0.75 }, 0 },
+	{ "lists flood beside lookups",
+	    { .flows = { { "/list/", 67.5, 4 }, { "/lookup/", 22.5, 0 },
+		  { "/fetch/", 22.5, 0 } },
+		.flow_count = 3,
+		.has_pauses = true,
+		.fault_shard = -1 },
+	    { 0, 0.75, 0.75 }, 0 },
+	{ "leafs drain under load",
+	    { .flows = FLOWS_ALL,
+		.flow_count = 3,
+		.drain_leafs = 8,
+		.fault_shard = -1 },
+	    { 0.75, 0.75, 0.95 }, 0 },
+	{ "requests that may not repeat, answers lost",
+	    { .flows = { { "/fetch/", 60, 0 } },
+		.flow_count = 1,
+		.is_unrepeatable = true,
+		.fault = FAULT_MUTE,
+		.fault_share = 0.5,
+		.fault_shard = -1,
+		.fault_begin_us = 0,
+		.fault_end_us = RUN_US },
+	    { 0.5, 0, 0 }, 0 },
+	{ "requests that may not repeat, leafs shed",
+	    { .flows = { { "/fetch/", 60, 0 } },
+		.flow_count = 1,
+		.is_unrepeatable = true,
+		.fault = FAULT_SHED,
+		.fault_share = 1,
+		.fault_shard = -1,
+		.fault_begin_us = 0,
+		.fault_end_us = RUN_US },
+	    { 0.5, 0, 0 }, 0 },
+};
+
+static int
+check(bool is_held, const char *what, double value)
+{
+	if (!is_held)
+		printf("  FAILED: %s (%.3f)\n", what, value);
+	return is_held ? 0 : 1;
+}
+
+static int
+run_pattern(const pattern_t *pattern, uint64_t seed)
+{
+	tier_world_options_t options = pattern->options;
+	const world_totals_t *totals;
+	tier_world_t *world;
+	int errors = 0;
+
+	options.seed = seed;
+	options.vms = 9;
+	options.zones = 3;
+	options.shards = 20;
+	world = tier_world_create(&options);
+	tier_world_run(world, RUN_US);
+	totals = tier_world_get_totals(world);
+	printf("%s, seed %d:", pattern->name, (int)seed);
+	for (int i = 0; i < options.flow_count; i++) {
+		const world_result_t *result = tier_world_get_result(world, i);
+
+		printf(" %s %.3f", options.flows[i].prefix,
+		    result->worth / result->owed);
+	}
+	printf(" extra %.3f connections %d\n",
+	    (double)totals->extra / totals->first, totals->most_connections);
+	for (int i = 0; i < options.flow_count; i++) {
+		const world_result_t *result = tier_world_get_result(world, i);
+		double share = result->worth / result->owed;
+
+		errors += check(share >= pattern->least[i],
+		    options.flows[i].prefix, share);
+	}
+	errors += check(totals->violations == 0, "violations",
+	    totals->violations);
+	errors += check(totals->runs_twice == 0, "ran twice",
+	    totals->runs_twice);
+	errors += check(totals->refused_but_ran == 0, "refused but ran",
+	    totals->refused_but_ran);
+	errors += check(totals->sent_to_drained == 0, "sent to a drained leaf",
+	    totals->sent_to_drained);
+	/* The ratio of all and the constant for each service and window. */
+	errors += check(totals->extra <= 0.2 * totals->first +
+					     2 * 58 * (options.shards + 1),
+	    "extra requests", totals->extra);
+	errors += check(totals->most_connections <= 110,
+	    "connections to one leaf", totals->most_connections);
+	tier_world_destroy(world);
+	return errors;
+}
+
+int
+main(int argc, char **argv)
+{
+	int errors = 0;
+
+	log_begin("warning", false);
+	for (size_t i = 0; i < G_N_ELEMENTS(patterns); i++) {
+		if (argc > 1 && strstr(patterns[i].name, argv[1]) == NULL)
+			continue;
+		for (uint64_t seed = 1; seed <= SEEDS; seed++)
+			errors += run_pattern(&patterns[i], seed);
+	}
+	return errors == 0 ? 0 : 1;
+}
