Leave leafs room for a restart, pace the watches, retry what did not arrive

Now a reset new connection is an outcome of its own (crowded) that restarts the part, surplus idle connections are closed, a fresh VM opens half its share for 10 s. A watch waits a part of its bound before the next call. A test found that a request with a part done was refused as not run; the part's state decides now.

--- a/src/belief.c
+++ b/src/belief.c
@@ -24,13 +24,14 @@
 #define OVERDUE_FLOOR_US  8000	  /* jitter of the network and the loop */
 #define BACKOFF_FIRST_US  250000  /* the first rest of an unreachable leaf */
 #define BACKOFF_MOST_US	  3000000 /* below the time that a crash lasts */
+#define CROWDED_US	  400000 /* until a new connection is tried again */
 #define FAILURES_DOWN	  0.6	  /* share from which a leaf rests */
 
 const char *
 outcome_get_name(attempt_outcome_t outcome)
 {
 	static const char *const names[] = { "answered", "leaf_failed",
-		"not_run", "misdirected", "unsent", "broken", "silent" };
+		"not_run", "misdirected", "unsent", "crowded", "broken", "silent" };
 
 	return names[outcome];
 }
@@ -99,10 +100,22 @@
 	leaf->answered_us = now_us;
 }
 
+/* The leaf takes no further connection; that says nothing of its work. */
+static void
+note_crowd(leaf_belief_t *leaf, int64_t now_us)
+{
+	leaf->crowded_until_us = now_us + CROWDED_US;
+	leaf->is_stalled = false;
+}
+
 void
 belief_note_failure(
     leaf_belief_t *leaf, int64_t now_us, attempt_outcome_t outcome)
 {
+	if (outcome == OUTCOME_CROWDED) {
+		note_crowd(leaf, now_us);
+		return;
+	}
 	leaf->failures += FAILURE_WEIGHT * (1.0 - leaf->failures);
 	if (outcome != OUTCOME_SILENT)
 		leaf->is_stalled = false;
--- a/src/pool.c
+++ b/src/pool.c
@@ -14,6 +14,8 @@
 #define IDLE_DEFAULT_US	   30000000 /* kept so long without Keep-Alive */
 #define IDLE_MARGIN_US	   700000   /* not reused so close to its end */
 #define SWEEP_US	   50000
+#define PRUNE_US	   500000  /* between looks at surplus connections */
+#define SURPLUS_US	   1500000 /* a second idle one is closed after this */
 
 typedef struct leaf_pool leaf_pool_t;
 
@@ -25,7 +27,8 @@
 	tier_attempt_t *attempt; /* NULL: idle */
 	char id[KEY_BYTES];	 /* of the request in work */
 	int64_t opened_us;	 /* or begun, while it connects */
-	int64_t reuse_until_us;
+	int64_t reuse_until_us, idle_us;
+	bool is_used; /* an answer has come on it */
 	bool is_open, is_spoiled; /* spoiled: closed after this answer */
 } leaf_link_t;
 
@@ -44,7 +47,7 @@
 	LIST_HEAD(, leaf_pool) all;
 	GQueue unsent; /* attempts whose connection could not be begun */
 	GString *scratch;
-	int64_t sweep_us;
+	int64_t sweep_us, prune_us;
 	int connecting;
 };
 
@@ -77,6 +80,8 @@
 {
 	if (!link->is_open)
 		link->owner->pool->connecting--;
+	if (!link->owner->is_forgotten)
+		link->owner->leaf->open_count--;
 	LIST_REMOVE(link, in_pool);
 	stream_destroy(link->stream);
 	http_message_end(&link->message);
@@ -129,6 +134,7 @@
 	if (is_kept && !owner->is_forgotten) {
 		http_message_reset(&link->message);
 		link->reuse_until_us = reuse_until_us;
+		link->idle_us = clock_get_us();
 	} else
 		destroy_link(link);
 	destroy_if_unused(owner);
@@ -189,6 +195,7 @@
 	    &link->message, false, REPLY_HEAD_BYTES, REPLY_BODY_BYTES);
 	LIST_INSERT_HEAD(&owner->links, link, in_pool);
 	owner->pool->connecting++;
+	owner->leaf->open_count++;
 	metric_add(METRIC_TIER_CONNECTIONS_OPENED, 1);
 	return link;
 }
@@ -312,6 +319,7 @@
 		destroy_if_unused(owner);
 		return;
 	}
+	link->is_used = true;
 	for (;;) {
 		http_state_t state =
 		    http_message_feed(&link->message, data, length, &used);
@@ -337,6 +345,17 @@
 		stream_is_written(link->stream));
 }
 
+/* A leaf that serves other connections lives, and has too many of them. */
+static attempt_outcome_t
+get_refusal(const leaf_link_t *link)
+{
+	const leaf_pool_t *owner = link->owner;
+
+	return !owner->is_forgotten && owner->leaf->open_count > 1
+		   ? OUTCOME_CROWDED
+		   : OUTCOME_UNSENT;
+}
+
 static void
 handle_closed(void *context, bool is_clean)
 {
@@ -349,7 +368,9 @@
 		destroy_link(link);
 		destroy_if_unused(owner);
 	} else if (!link->is_open)
-		fail_link(link, OUTCOME_UNSENT);
+		fail_link(link, get_refusal(link));
+	else if (!link->is_used && !link->message.is_begun)
+		fail_link(link, OUTCOME_CROWDED);
 	else if (is_clean &&
 		 http_message_finish(&link->message) == HTTP_COMPLETE &&
 		 take_message(link, &answer))
@@ -378,6 +399,27 @@
 	}
 }
 
+/*
+ * Connections that a burst has opened are closed again: a leaf counts those of
+ * a VM that has lost its power until they lapse, and needs room for its new
+ * ones meanwhile.
+ */
+static void
+prune_links(leaf_pool_t *owner, int64_t now_us)
+{
+	leaf_link_t *link, *next;
+	bool is_first = true;
+
+	for (link = LIST_FIRST(&owner->links); link != NULL; link = next) {
+		next = LIST_NEXT(link, in_pool);
+		if (!is_first && link->attempt == NULL &&
+		    now_us - link->idle_us > SURPLUS_US)
+			destroy_link(link);
+		else
+			is_first = false;
+	}
+}
+
 static int64_t
 run_timer(void *context)
 {
@@ -388,9 +430,16 @@
 	while (!g_queue_is_empty(&pool->unsent))
 		pool->hooks.answered(pool->hooks.context,
 		    g_queue_pop_head(&pool->unsent), &unsent);
+	now_us = clock_get_us();
+	if (now_us >= pool->prune_us) {
+		leaf_pool_t *owner;
+
+		pool->prune_us = now_us + PRUNE_US;
+		LIST_FOREACH(owner, &pool->all, in_all)
+		prune_links(owner, now_us);
+	}
 	if (pool->connecting == 0)
 		return INT64_MAX;
-	now_us = clock_get_us();
 	if (now_us >= pool->sweep_us) {
 		leaf_pool_t *owner, *next;
 
--- a/src/reach.c
+++ b/src/reach.c
@@ -7,6 +7,7 @@
 /* Costs in microseconds of expected time, added to the leaf's own. */
 #define REGION_COST_US	 2000	/* bytes between zones are paid for */
 #define REMOTE_COST_US	 6000	/* bytes between regions are paid for */
+#define OTHERS_COST_US	 30000	/* leafs that other VMs prefer: connections */
 #define STALL_COST_US	 200000 /* length of the pauses that leafs take */
 #define FAILURE_COST_US	 300000 /* a failed request is sent again */
 #define VANISHED_COST_US 400000 /* used only where nothing else is left */
@@ -28,6 +29,17 @@
 	       now_us >= leaf->belief.down_until_us;
 }
 
+/* Room on a connection that is open, or that may be opened. */
+static bool
+has_room(const tier_leaf_t *leaf, int64_t now_us)
+{
+	int most = leaf->limit;
+
+	if (now_us < leaf->belief.crowded_until_us)
+		most = MIN(most, leaf->open_count);
+	return leaf->in_flight < most;
+}
+
 static double
 get_cost_us(
     const tier_leaf_t *leaf, const kind_belief_t *kind, int64_t now_us)
@@ -42,6 +54,8 @@
 	cost += belief->failures * FAILURE_COST_US;
 	if (belief->is_stalled)
 		cost += STALL_COST_US;
+	if (leaf->distance == 2 && !leaf->is_preferred)
+		cost += OTHERS_COST_US;
 	if (leaf->entry.is_vanished)
 		cost += VANISHED_COST_US;
 	return cost;
@@ -63,7 +77,7 @@
 
 		if (is_excluded(exclude, each) || !is_usable(each, now_us))
 			continue;
-		if (each->in_flight >= each->limit) {
+		if (!has_room(each, now_us)) {
 			if (result == REACH_NONE)
 				result = REACH_BUSY;
 			continue;
--- a/src/source.c
+++ b/src/source.c
@@ -18,10 +18,18 @@
 #define BACKOFF_FIRST_US   100000
 #define BACKOFF_MOST_US	   800000 /* a regained store is used within 1 s */
 #define VANISH_US	   2000000 /* entries lost in an outage are back by then */
-#define VM_POLL_US	   10000000
-#define VM_POLL_FIRST_US   1500000 /* all VMs start within 0.3 s */
-#define VM_BEAT_US	   15000000
-#define VM_LAPSE_US	   35000000 /* two beats and a call */
+#define VM_POLL_US	   15000000
+#define VM_POLL_FIRST_US   2500000 /* all VMs start within 0.3 s */
+#define VM_BEAT_US	   20000000
+#define VM_LAPSE_US	   50000000 /* two beats and a poll */
+
+/*
+ * A watch ends with the first change, and each call is paid for. The next one
+ * waits a part of the time that the change may take, so that changes which come
+ * together cost one call.
+ */
+#define LEAFS_GATHER_PART  0.35
+#define CONFIG_GATHER_PART 0.15
 #define PUBLISH_DELAY_US   2000 /* changes that arrive together */
 
 typedef enum feed_step {
@@ -417,8 +425,24 @@
 		source->beat++;
 	if (status == 409 || status == 404)
 		source->beat_us = now_us + BACKOFF_FIRST_US;
-	rest(feed, now_us,
-	    source->is_vm_known ? VM_POLL_US / 10 : VM_POLL_FIRST_US);
+	rest(feed, now_us, source->is_vm_known ? 0 : VM_POLL_FIRST_US);
+}
+
+static int64_t
+get_rest_us(const feed_state_t *feed)
+{
+	const tier_settings_t *settings = &feed->source->settings;
+
+	switch (feed->feed) {
+	case FEED_CONFIGURATION:
+		return (int64_t)((double)settings->apply_us *
+				 CONFIG_GATHER_PART);
+	case FEED_LEAFS:
+		return (int64_t)((double)settings->drain_us *
+				 LEAFS_GATHER_PART);
+	default:
+		return VM_POLL_US;
+	}
 }
 
 static void
@@ -451,7 +475,7 @@
 	feed->revision = page.revision;
 	if (is_list)
 		finish_list(feed);
-	rest(feed, now_us, feed->feed == FEED_VMS ? VM_POLL_US : 0);
+	rest(feed, now_us, get_rest_us(feed));
 	loop_wake(feed->source->loop);
 }
 
--- a/src/tier.c
+++ b/src/tier.c
@@ -16,12 +16,14 @@
 #define RETURN_MARGIN_US 8000 /* network and processing on the way back */
 #define WAY_IN_US	 3000 /* from the caller's start to its arrival here */
 #define HEDGE_AGAIN_US	 15000	/* between looks at a part that can't hedge */
+#define RESTARTS_MOST	 3	/* of a part whose request did not arrive */
 #define LATE_FACTOR	 2	/* objectives to wait for a late whole answer */
 #define ABANDON_US	 250000 /* a leaf may finish what nobody waits for */
 #define SWEEP_US	 50000	/* between looks at abandoned attempts */
 #define RETRY_AFTER_US	 300000 /* without a better estimate */
 #define LOWER_TURN	 4	/* each such dispatch goes to a lower rank */
 #define CONNECTION_SLACK 2	/* of a leaf's limit, for VMs that join */
+#define SETTLE_US	 10000000 /* leafs drop dead connections in this */
 #define LEAF_LIMIT_MOST	 32	/* connections of one VM to one leaf */
 #define RTT_SAME_US	 400	/* until measured, by distance */
 #define RTT_REGION_US	 3500
@@ -42,6 +44,8 @@
 	bool is_queued;
 	int sent_count; /* attempts that may have reached a leaf */
 	int open_count; /* attempts without an outcome */
+	int restart_count;
+	bool may_have_run; /* an attempt ended without the leaf's word */
 	int64_t hedge_us;
 	reach_exclude_t tried;
 };
@@ -88,6 +92,8 @@
 	int request_count, waiting_count;
 	int64_t sweep_us, stopping_us;
 	int64_t due_us; /* no request is due before */
+	int64_t begun_us;
+	bool is_settling; /* the VM's connections of before may linger */
 };
 
 static void settle(tier_request_t *request, int64_t now_us);
@@ -127,6 +133,7 @@
 		.body_bytes = 262144,
 		.read_us = 3000000,
 		.idle_us = 15000000 };
+	tier->is_settling = true;
 	TAILQ_INIT(&tier->requests);
 	TAILQ_INIT(&tier->attempts);
 	return tier;
@@ -389,6 +396,32 @@
 	tier->due_us = 0;
 }
 
+/*
+ * Leafs limit their connections, so a VM reaches into other regions at one leaf
+ * of each service, chosen by rendezvous hashing: the VMs spread evenly.
+ */
+static void
+prefer_remote(tier_t *tier, tier_service_t *service)
+{
+	tier_leaf_t *leaf, *best = NULL;
+	uint64_t best_hash = 0;
+
+	LIST_FOREACH(leaf, &service->leafs, in_service)
+	{
+		uint64_t hash = hash_pair(
+		    tier->options.seed, hash_text(leaf->entry.id));
+
+		leaf->is_preferred = false;
+		if (leaf->distance != 2 || leaf->entry.is_draining ||
+		    (best != NULL && hash < best_hash))
+			continue;
+		best = leaf;
+		best_hash = hash;
+	}
+	if (best != NULL)
+		best->is_preferred = true;
+}
+
 /* Divides each leaf's connections among the VMs. */
 static void
 update_limits(tier_t *tier)
@@ -402,8 +435,12 @@
 		int share = (leaf->service->connections - CONNECTION_SLACK) /
 			    tier->vm_count;
 
-		leaf->limit = CLAMP(share, 1, LEAF_LIMIT_MOST);
+		leaf->limit = CLAMP(
+		    tier->is_settling ? share / 2 : share, 1, LEAF_LIMIT_MOST);
 	}
+	g_hash_table_iter_init(&iter, tier->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		prefer_remote(tier, value);
 }
 
 /* ---- Answers -------------------------------------------------------------- */
@@ -649,10 +686,10 @@
 
 /*
  * Sends one more attempt if a leaf is free that can answer in time and the
- * budget allows it.
+ * budget allows it. A hedge goes to no leaf that is stalled itself.
  */
 static bool
-send_extra(tier_part_t *part, int64_t now_us)
+send_extra(tier_part_t *part, int64_t now_us, bool is_hedge)
 {
 	tier_request_t *request = part->request;
 	tier_leaf_t *leaf;
@@ -664,8 +701,8 @@
 		now_us, request->tier->random, &leaf,
 		&expected_us) != REACH_FOUND)
 		return false;
-	if (leaf->belief.is_stalled ||
-	    now_us + expected_us > request->deadline_us)
+	if (is_hedge && (leaf->belief.is_stalled ||
+			    now_us + expected_us > request->deadline_us))
 		return false;
 	if (!take_budget(part, now_us)) {
 		metric_add(METRIC_TIER_BUDGET_EMPTY, 1);
@@ -778,7 +815,7 @@
 		note_stall(tier, open->leaf, now_us);
 	if (!part->request->route->may_repeat)
 		return;
-	if (send_extra(part, now_us))
+	if (send_extra(part, now_us, true))
 		part->hedge_us = INT64_MAX;
 }
 
@@ -990,6 +1027,7 @@
 	tier->shell.log(tier->shell.context, LOG_TIER_ATTEMPT_FAILED, text);
 }
 
+/* False only where the leaf said so or nothing was sent. */
 static bool
 has_run(attempt_outcome_t outcome)
 {
@@ -997,21 +1035,45 @@
 	       outcome != OUTCOME_UNSENT;
 }
 
-/* Whether any attempt of the request has or may have run. */
+/* Whether any attempt has or may have run, or still may. */
 static void
-update_run(tier_request_t *request, attempt_outcome_t outcome)
+update_run(tier_request_t *request)
 {
-	/* Counted by part: each sent attempt sets it, a "not run" takes it
-	 * back only when it was the only one. */
 	bool may_have_run = false;
 
-	if (has_run(outcome))
-		return;
 	for (int i = 0; i < request->part_count; i++)
-		may_have_run = may_have_run || request->parts[i].sent_count > 0;
+		may_have_run = may_have_run ||
+			       request->parts[i].state == PART_DONE ||
+			       request->parts[i].may_have_run ||
+			       request->parts[i].open_count > 0;
 	request->may_have_run = may_have_run;
 }
 
+static bool
+is_free_retry(attempt_outcome_t outcome)
+{
+	return outcome == OUTCOME_UNSENT || outcome == OUTCOME_CROWDED;
+}
+
+/*
+ * Begins a part again whose request did not arrive. The leaf that it was meant
+ * for may be chosen again, on a connection that is open.
+ * Returns false if no leaf can be used.
+ */
+static bool
+restart_part(tier_part_t *part, int64_t now_us)
+{
+	if (++part->restart_count > RESTARTS_MOST)
+		return false;
+	part->tried.count = MAX(part->tried.count - 1, 0);
+	start_part(part, now_us, false);
+	if (part->state != PART_FAILED)
+		return true;
+	part->request->failed_count--; /* the caller fails it */
+	part->state = PART_SENT;
+	return false;
+}
+
 /* The part's attempt failed: another leaf, or the end of the part. */
 static void
 retry_part(tier_part_t *part, int64_t now_us, const leaf_answer_t *answer)
@@ -1019,23 +1081,21 @@
 	tier_request_t *request = part->request;
 	bool ran = has_run(answer->outcome);
 
-	if (!ran) {
+	part->may_have_run = part->may_have_run || ran;
+	if (!ran || answer->outcome == OUTCOME_CROWDED)
 		part->sent_count--; /* it does not count as an attempt */
-		update_run(request, answer->outcome);
-	}
+	if (answer->outcome == OUTCOME_CROWDED)
+		take_budget(part, now_us); /* it may have arrived */
+	update_run(request);
 	if (part->open_count > 0)
 		return; /* the other attempt may still answer */
 	if (request->route->may_repeat || !ran) {
-		if (part->sent_count == 0 &&
-		    answer->outcome == OUTCOME_UNSENT &&
-		    part->tried.count < ATTEMPTS_LIMIT) {
-			start_part(part, now_us, false);
-			if (part->state != PART_FAILED)
+		if (is_free_retry(answer->outcome)) {
+			/* Never arrived: neither an attempt nor an extra one. */
+			if (restart_part(part, now_us))
 				return;
-			request->failed_count--;
-			part->state = PART_SENT;
 		} else if (part->tried.count < ATTEMPTS_LIMIT &&
-			   send_extra(part, now_us))
+			   send_extra(part, now_us, false))
 			return;
 	}
 	if (!request->route->is_gather &&
@@ -1209,6 +1269,12 @@
 	tier_request_t *request, *next;
 	int64_t due_us = INT64_MAX;
 
+	if (tier->begun_us == 0)
+		tier->begun_us = now_us;
+	if (tier->is_settling && now_us - tier->begun_us > SETTLE_US) {
+		tier->is_settling = false;
+		update_limits(tier);
+	}
 	if (now_us >= tier->sweep_us) {
 		GHashTableIter iter;
 		gpointer service;
--- a/src/tier.h
+++ b/src/tier.h
@@ -103,6 +103,7 @@
 	OUTCOME_NOT_RUN,     /* the leaf says that it did not run it */
 	OUTCOME_MISDIRECTED, /* another leaf lives at the address now */
 	OUTCOME_UNSENT,	     /* no byte of it left this VM */
+	OUTCOME_CROWDED,     /* a new connection was reset: one too many */
 	OUTCOME_BROKEN,	     /* reset, cut short, not HTTP: may have run */
 	OUTCOME_SILENT	     /* no answer in time: may have run */
 } attempt_outcome_t;
@@ -127,6 +128,7 @@
 	int64_t backoff_us;
 	int64_t cold_until_us;
 	int64_t answered_us; /* last sign of life */
+	int64_t crowded_until_us; /* opens no further connection before */
 } leaf_belief_t;
 
 void kind_belief_begin(kind_belief_t *kind);
@@ -242,6 +244,8 @@
 	int distance;	 /* 0 same zone, 1 same region, 2 other region */
 	int limit;	 /* connections that this VM may hold */
 	int in_flight;
+	int open_count;	   /* connections, idle ones included */
+	bool is_preferred; /* of the leafs in other regions */
 	bool is_gone;	  /* freed when nothing is in flight */
 	bool is_moved;	  /* another leaf answers at its address */
 	void *connections; /* of the shell */
--- a/src/tier_settings.c
+++ b/src/tier_settings.c
@@ -72,6 +72,16 @@
 		*target_us = (int64_t)(seconds * SECOND_US);
 }
 
+static void
+read_milliseconds(reading_t *reading, const char *key,
+    const yaml_node_t *value, int64_t *target_us)
+{
+	double milliseconds;
+
+	if (read_real(reading, key, value, &milliseconds))
+		*target_us = (int64_t)(milliseconds * 1000);
+}
+
 static void
 read_pair(reading_t *reading, const char *key, const yaml_node_t *key_node,
     yaml_node_t *value, void *context)
@@ -96,6 +106,10 @@
 		read_real(reading, key, value, &settings->retry_slack);
 	else if (strcmp(key, "retry_window_s") == 0)
 		read_seconds(reading, key, value, &settings->retry_window_us);
+	else if (strcmp(key, "drain_ms") == 0)
+		read_milliseconds(reading, key, value, &settings->drain_us);
+	else if (strcmp(key, "apply_ms") == 0)
+		read_milliseconds(reading, key, value, &settings->apply_us);
 	else if (strcmp(key, "stop_s") == 0)
 		read_seconds(reading, key, value, &settings->stop_us);
 	else
@@ -116,6 +130,8 @@
 	settings->retry_ratio = 0.1;
 	settings->retry_window_us = 10L * SECOND_US;
 	settings->stop_us = 6L * SECOND_US;
+	settings->drain_us = 3L * SECOND_US;
+	settings->apply_us = 3L * SECOND_US;
 	g_strlcpy(settings->log_level, "message", sizeof(settings->log_level));
 	if (!document_begin(&reading, name, text, length, problems))
 		return false;
--- a/src/tier_shell.h
+++ b/src/tier_shell.h
@@ -77,6 +77,8 @@
 	char log_level[NAME_BYTES];
 	double retry_ratio, retry_slack;
 	int64_t retry_window_us;
+	int64_t drain_us; /* a draining leaf gets nothing later than this */
+	int64_t apply_us; /* a configuration is in force after this */
 	int64_t stop_us; /* from SIGTERM until the process is killed */
 	GHashTable *regions; /* zone -> region */
 } tier_settings_t;
