Order a loaded leaf's work by rank here, refuse at once what would be late

Cause (pattern: lists flood beside lookups): a leaf queues in order of arrival, so a flood of lists filled the queues of all leafs and lookups waited behind it. A leaf whose work takes 2.2 times an idle leaf's gets half of this VM's connections from lower ranks; the rest waits here by rank. A request whose parts would wait past the objective is refused before anything is sent; what is late waits last.

--- a/src/belief.c
+++ b/src/belief.c
@@ -18,6 +18,10 @@
 #define TAIL_STEP	  0.05	/* change of the estimate by one sample */
 #define TAIL_LEAST	  1.3
 #define TAIL_MOST	  8.0
+#define IDLE_QUANTILE	  0.25	/* of the work, with no queue before it */
+#define IDLE_STEP	  0.02
+#define LOAD_WEIGHT	  0.2
+#define LOAD_CLIP	  8.0 /* one pause is no load */
 #define SPEED_LEAST	  0.2
 #define SPEED_MOST	  20.0
 #define COLD_FACTOR	  1.6	  /* work of a leaf that has just started */
@@ -40,13 +44,14 @@
 kind_belief_begin(kind_belief_t *kind)
 {
 	*kind = (kind_belief_t) { .work_us = WORK_FIRST_US,
+		.idle_work_us = WORK_FIRST_US,
 		.tail = TAIL_FIRST };
 }
 
 void
 leaf_belief_begin(leaf_belief_t *leaf)
 {
-	*leaf = (leaf_belief_t) { .speed = 1.0 };
+	*leaf = (leaf_belief_t) { .speed = 1.0, .load = 1.0 };
 }
 
 static double
@@ -72,6 +77,22 @@
 	       (int64_t)(kind->work_us * speed * kind->tail);
 }
 
+/* The idle work falls fast and rises slowly, so that a flood is no new norm. */
+static void
+note_load(kind_belief_t *kind, leaf_belief_t *leaf, double work)
+{
+	double idle = kind->idle_work_us;
+
+	idle += work < idle ? -IDLE_STEP * idle * (1.0 - IDLE_QUANTILE)
+			    : IDLE_STEP * idle * IDLE_QUANTILE;
+	if (kind->samples <= 20)
+		idle = MIN(idle, work);
+	kind->idle_work_us = MAX(idle, 100.0);
+	work = MIN(work, LOAD_CLIP * kind->idle_work_us);
+	leaf->load +=
+	    LOAD_WEIGHT * (work / kind->idle_work_us - leaf->load);
+}
+
 void
 belief_note_answer(kind_belief_t *kind, leaf_belief_t *leaf, int64_t now_us,
     int64_t rtt_us, int64_t took_us)
@@ -93,6 +114,7 @@
 			  ? TAIL_STEP * kind->tail * TAIL_QUANTILE
 			  : -TAIL_STEP * kind->tail * (1.0 - TAIL_QUANTILE);
 	kind->tail = CLAMP(kind->tail, TAIL_LEAST, TAIL_MOST);
+	note_load(kind, leaf, work);
 	leaf->failures -= FAILURE_WEIGHT * leaf->failures;
 	leaf->is_stalled = false;
 	leaf->down_until_us = 0;
--- a/src/reach.c
+++ b/src/reach.c
@@ -11,6 +11,7 @@
 #define STALL_COST_US	 200000 /* length of the pauses that leafs take */
 #define FAILURE_COST_US	 300000 /* a failed request is sent again */
 #define VANISHED_COST_US 400000 /* used only where nothing else is left */
+#define LOADED		 2.2	/* multiple of an idle leaf's time */
 #define JITTER		 0.05	/* spreads VMs that believe the same */
 
 static bool
@@ -29,11 +30,23 @@
 	       now_us >= leaf->belief.down_until_us;
 }
 
+/*
+ * Requests that a leaf takes from this VM at once. A loaded leaf queues them in
+ * order of arrival; those that wait here instead are ordered by rank.
+ */
+static int
+get_limit(const tier_leaf_t *leaf, int rank)
+{
+	if (rank == 0 || leaf->belief.load < LOADED)
+		return leaf->limit;
+	return MAX(leaf->limit / 2, 1);
+}
+
 /* Room on a connection that is open, or that may be opened. */
 static bool
-has_room(const tier_leaf_t *leaf, int64_t now_us)
+has_room(const tier_leaf_t *leaf, int rank, int64_t now_us)
 {
-	int most = leaf->limit;
+	int most = get_limit(leaf, rank);
 
 	if (now_us < leaf->belief.crowded_until_us)
 		most = MIN(most, leaf->open_count);
@@ -62,7 +75,7 @@
 }
 
 reach_result_t
-reach_choose(const tier_service_t *service, const kind_belief_t *kind,
+reach_choose(const tier_service_t *service, const kind_belief_t *kind, int rank,
     const reach_exclude_t *exclude, int64_t now_us, gsl_rng *random,
     tier_leaf_t **leaf, int64_t *expected_us)
 {
@@ -77,7 +90,7 @@
 
 		if (is_excluded(exclude, each) || !is_usable(each, now_us))
 			continue;
-		if (!has_room(each, now_us)) {
+		if (!has_room(each, rank, now_us)) {
 			if (result == REACH_NONE)
 				result = REACH_BUSY;
 			continue;
@@ -95,3 +108,23 @@
 		    kind, &(*leaf)->belief, *(*leaf)->rtt_us);
 	return result;
 }
+
+int64_t
+reach_get_wait_us(const tier_service_t *service, int rank, int64_t now_us)
+{
+	const tier_leaf_t *leaf;
+	int room = 0, ahead = 0, busy = 0;
+
+	LIST_FOREACH(leaf, &service->leafs, in_service)
+	{
+		if (!is_usable(leaf, now_us))
+			continue;
+		room += get_limit(leaf, rank);
+		busy += leaf->in_flight;
+	}
+	for (int i = 0; i <= rank; i++)
+		ahead += service->waiting_by_rank[i];
+	if (room == 0 || busy + ahead < room)
+		return 0;
+	return (int64_t)(service->latency_us * (double)(ahead + 1) / room);
+}
--- a/src/tier.c
+++ b/src/tier.c
@@ -21,8 +21,11 @@
 #define ABANDON_US	 250000 /* a leaf may finish what nobody waits for */
 #define SWEEP_US	 50000	/* between looks at abandoned attempts */
 #define RETRY_AFTER_US	 300000 /* without a better estimate */
+#define RETRY_AFTER_LEAST_US 50000
 #define LOWER_TURN	 4	/* each such dispatch goes to a lower rank */
 #define CONNECTION_SLACK 2	/* of a leaf's limit, for VMs that join */
+#define LATENCY_WEIGHT	 0.1
+#define LATENCY_CLIP_US	 250000.0 /* a pause more or less */
 #define SETTLE_US	 10000000 /* leafs drop dead connections in this */
 #define LEAF_LIMIT_MOST	 32	/* connections of one VM to one leaf */
 #define RTT_SAME_US	 400	/* until measured, by distance */
@@ -42,6 +45,7 @@
 	tier_service_t *service;
 	part_state_t state;
 	bool is_queued;
+	int queue_rank; /* of the queue that it waits in */
 	int sent_count; /* attempts that may have reached a leaf */
 	int open_count; /* attempts without an outcome */
 	int restart_count;
@@ -101,6 +105,7 @@
 static void dispatch(tier_service_t *service, tier_t *tier, int64_t now_us);
 static void end_request(tier_request_t *request);
 static void update_limits(tier_t *tier);
+static void unqueue_part(tier_part_t *part);
 
 /* ---- Setting up ----------------------------------------------------------- */
 
@@ -555,6 +560,36 @@
 	end_request(request);
 }
 
+static void
+queue_part(tier_part_t *part, int rank)
+{
+	tier_service_t *service = part->service;
+
+	if (part->is_queued)
+		return;
+	part->state = PART_WAITING;
+	part->is_queued = true;
+	part->queue_rank = rank;
+	TAILQ_INSERT_TAIL(&service->waiting[rank], part, in_queue);
+	service->waiting_count++;
+	service->waiting_by_rank[rank]++;
+	part->request->tier->waiting_count++;
+}
+
+static void
+unqueue_part(tier_part_t *part)
+{
+	tier_service_t *service = part->service;
+
+	if (!part->is_queued)
+		return;
+	part->is_queued = false;
+	TAILQ_REMOVE(&service->waiting[part->queue_rank], part, in_queue);
+	service->waiting_count--;
+	service->waiting_by_rank[part->queue_rank]--;
+	part->request->tier->waiting_count--;
+}
+
 /* Leaves the open attempts to finish without a receiver. */
 static void
 abandon_attempts(tier_request_t *request)
@@ -576,14 +611,7 @@
 
 	abandon_attempts(request);
 	for (int i = 0; i < request->part_count; i++) {
-		tier_part_t *part = &request->parts[i];
-
-		if (!part->is_queued)
-			continue;
-		TAILQ_REMOVE(
-		    &part->service->waiting[request->rank], part, in_queue);
-		part->service->waiting_count--;
-		tier->waiting_count--;
+		unqueue_part(&request->parts[i]);
 	}
 	TAILQ_REMOVE(&tier->requests, request, in_tier);
 	tier->request_count--;
@@ -697,8 +725,8 @@
 
 	if (part->sent_count >= MIN(request->route->attempts, ATTEMPTS_LIMIT))
 		return false;
-	if (reach_choose(part->service, &request->state->kind, &part->tried,
-		now_us, request->tier->random, &leaf,
+	if (reach_choose(part->service, &request->state->kind, request->rank,
+		&part->tried, now_us, request->tier->random, &leaf,
 		&expected_us) != REACH_FOUND)
 		return false;
 	if (is_hedge && (leaf->belief.is_stalled ||
@@ -712,34 +740,6 @@
 	return true;
 }
 
-static void
-queue_part(tier_part_t *part)
-{
-	tier_request_t *request = part->request;
-
-	if (part->is_queued)
-		return;
-	part->state = PART_WAITING;
-	part->is_queued = true;
-	TAILQ_INSERT_TAIL(
-	    &part->service->waiting[request->rank], part, in_queue);
-	part->service->waiting_count++;
-	request->tier->waiting_count++;
-}
-
-static void
-unqueue_part(tier_part_t *part)
-{
-	tier_request_t *request = part->request;
-
-	if (!part->is_queued)
-		return;
-	part->is_queued = false;
-	TAILQ_REMOVE(&part->service->waiting[request->rank], part, in_queue);
-	part->service->waiting_count--;
-	request->tier->waiting_count--;
-}
-
 static void
 fail_part(tier_part_t *part)
 {
@@ -757,13 +757,13 @@
 	int64_t expected_us;
 
 	switch (reach_choose(part->service, &request->state->kind,
-	    &part->tried, now_us, request->tier->random, &leaf, &expected_us)) {
+	    request->rank, &part->tried, now_us, request->tier->random, &leaf, &expected_us)) {
 	case REACH_FOUND:
 		unqueue_part(part);
 		send_attempt(part, leaf, now_us, is_extra);
 		break;
 	case REACH_BUSY:
-		queue_part(part);
+		queue_part(part, request->rank);
 		break;
 	case REACH_NONE:
 		fail_part(part);
@@ -944,6 +944,38 @@
 	return request;
 }
 
+/*
+ * Refuses at once what could only be answered late: too many of its parts would
+ * wait here longer than the objective leaves. Nothing has been sent.
+ */
+static bool
+admit_request(tier_request_t *request, int64_t now_us)
+{
+	const route_t *route = request->route;
+	int64_t limit_us = MIN(request->stop_us, request->deadline_us);
+	int64_t wait_us, most_us = 0;
+	int late_count = 0;
+	int spare =
+	    (int)((1.0 - route->least_share) * request->part_count + 1e-9);
+
+	for (int i = 0; i < request->part_count; i++) {
+		tier_service_t *service = request->parts[i].service;
+
+		wait_us = reach_get_wait_us(service, request->rank, now_us);
+		if (now_us + wait_us + (int64_t)service->latency_us > limit_us)
+			late_count++;
+		most_us = MAX(most_us, wait_us);
+	}
+	if (late_count <= spare || most_us == 0)
+		return true;
+	metric_add(METRIC_TIER_REFUSED, 1);
+	log_end(request, now_us, "refused: queues are too long");
+	answer_own(request->tier, request->caller, 503,
+	    MAX(most_us, RETRY_AFTER_LEAST_US), "the queues are too long");
+	end_request(request);
+	return false;
+}
+
 tier_request_t *
 tier_begin(tier_t *tier, int64_t now_us, const tier_ask_t *ask, void *caller)
 {
@@ -962,6 +994,8 @@
 		return NULL;
 	}
 	request = create_request(tier, now_us, route, ask, caller);
+	if (!admit_request(request, now_us))
+		return NULL;
 	/* Parts that fail at once must not end the request in this loop. */
 	for (int i = 0; i < request->part_count; i++)
 		start_part(&request->parts[i], now_us, false);
@@ -994,6 +1028,17 @@
 	end_request(request);
 }
 
+static void
+note_latency(tier_service_t *service, int64_t took_us)
+{
+	double latency = MIN((double)took_us, LATENCY_CLIP_US);
+
+	if (service->latency_us == 0)
+		service->latency_us = latency;
+	service->latency_us +=
+	    LATENCY_WEIGHT * (latency - service->latency_us);
+}
+
 static void
 note_outcome(tier_t *tier, tier_attempt_t *attempt, int64_t now_us,
     const leaf_answer_t *answer)
@@ -1003,6 +1048,7 @@
 
 	switch (answer->outcome) {
 	case OUTCOME_ANSWERED:
+		note_latency(leaf->service, now_us - attempt->sent_us);
 		belief_note_answer(attempt->kind, &leaf->belief, now_us,
 		    *leaf->rtt_us, now_us - attempt->sent_us);
 		return;
@@ -1192,6 +1238,20 @@
 
 /* ---- Time ----------------------------------------------------------------- */
 
+/* What is late already waits behind all that can still be in time. */
+static void
+demote_request(tier_request_t *request)
+{
+	for (int i = 0; i < request->part_count; i++) {
+		tier_part_t *part = &request->parts[i];
+
+		if (!part->is_queued || part->queue_rank == TIER_RANKS - 1)
+			continue;
+		unqueue_part(part);
+		queue_part(part, TIER_RANKS - 1);
+	}
+}
+
 static void
 run_due(tier_request_t *request, int64_t now_us)
 {
@@ -1209,6 +1269,8 @@
 		finish_gather(request, now_us);
 		return;
 	}
+	if (now_us >= request->stop_us)
+		demote_request(request);
 	request->due_us = request->deadline_us;
 	if (request->route->is_gather && request->stop_us > now_us)
 		request->due_us = MIN(request->due_us, request->stop_us);
--- a/src/tier.h
+++ b/src/tier.h
@@ -113,6 +113,7 @@
 /** What requests of one route have shown, over all leafs. */
 typedef struct kind_belief {
 	double work_us; /* mean time at a leaf, without the network */
+	double idle_work_us; /* low quantile of it: a leaf without a queue */
 	double tail;	/* quantile of work in multiples of its expectation */
 	int64_t patience_us; /* longest time that a caller said it would wait */
 	int64_t samples;
@@ -121,6 +122,7 @@
 /** What requests at one leaf have shown, over all routes. */
 typedef struct leaf_belief {
 	double speed;	       /* its work in multiples of the kind's mean */
+	double load;	       /* work in multiples of an idle leaf's, aged */
 	double failures;       /* share of failed requests, aged */
 	bool is_stalled;       /* something sent there is long overdue */
 	int64_t stalled_us;    /* since when */
@@ -258,7 +260,8 @@
 	int leaf_count;
 	budget_t budget;
 	TAILQ_HEAD(, tier_part) waiting[TIER_RANKS];
-	int waiting_count;
+	int waiting_count, waiting_by_rank[TIER_RANKS];
+	double latency_us; /* mean of its answers, all kinds */
 	int turns; /* dispatches, for the share of lower ranks */
 };
 
@@ -311,7 +314,11 @@
 } reach_result_t;
 
 reach_result_t reach_choose(const tier_service_t *service,
-    const kind_belief_t *kind, const reach_exclude_t *exclude, int64_t now_us,
+    const kind_belief_t *kind, int rank, const reach_exclude_t *exclude, int64_t now_us,
     gsl_rng *random, tier_leaf_t **leaf, int64_t *expected_us);
 
+/** How long a part of this rank would wait here for a free connection. */
+int64_t reach_get_wait_us(
+    const tier_service_t *service, int rank, int64_t now_us);
+
 #endif
