Spend less processor time on a part, and measure the way to the caller

The way is now the round trip of the caller's connection; greatest records are kept as they come in; the head for leafs is written once a request.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 
 SOURCES = $(filter-out src/main.c,$(wildcard src/*.c)) $(wildcard platform/*.c)
 OBJECTS = $(SOURCES:%.c=$(BUILD)/%.o)
-STANDINS = $(BUILD)/platform $(BUILD)/upstream
+STANDINS = $(BUILD)/platform $(BUILD)/upstream $(BUILD)/site
 SUPPORT = $(wildcard tests/support/*.[ch])
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/*.c))
 
@@ -50,6 +50,9 @@
 $(BUILD)/platform: stand-ins/platform.c stand-ins/stub.c $(OBJECTS)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/site: stand-ins/site.c $(OBJECTS)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
 $(BUILD)/upstream: stand-ins/upstream.c stand-ins/stub.c $(OBJECTS)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
--- a/src/entrance.c
+++ b/src/entrance.c
@@ -18,6 +18,8 @@
 	LIST_ENTRY(caller_link) in_entrance;
 	entrance_t *entrance;
 	stream_t *stream;
+	int64_t rtt_us; /* to the caller */
+	bool is_old;	/* a request has been answered on it */
 	http_message_t message;
 	GString *backlog; /* bytes behind the request in work */
 	tier_request_t *request;
@@ -146,6 +148,7 @@
 		    limits->body_bytes);
 		link->stream = stream_adopt(
 		    entrance->loop, accepted, &stream_hooks, link);
+		link->rtt_us = stream_get_rtt_us(link->stream);
 		LIST_INSERT_HEAD(&entrance->links, link, in_entrance);
 	}
 }
@@ -249,6 +252,8 @@
 	entrance->busy_count++;
 	ask.host = http_get_header(&link->message, "host");
 	ask.target = http_get_target(&link->message);
+	ask.rtt_us = link->rtt_us;
+	ask.is_on_new_connection = !link->is_old;
 	entrance->protocol->read_ask(&link->message, &ask);
 	if (ask.host == NULL || ask.target[0] != '/' || !ask.has_id) {
 		metric_add(METRIC_BAD_REQUESTS, 1);
@@ -343,6 +348,7 @@
 	GString *backlog = link->backlog;
 
 	link->is_ended = false;
+	link->is_old = true;
 	link->entrance->ended_count--;
 	if (link->is_closing) {
 		destroy_link(link);
--- a/src/gather.c
+++ b/src/gather.c
@@ -2,29 +2,23 @@
  * @file gather.c
  * Keeps the greatest fixed-size records of many parts, compared bytewise.
  */
-#include <stdlib.h>
 #include <string.h>
 
 #include "tier.h"
 
 struct gather {
-	int record_count;
-	GString *records; /* all that were added */
+	int record_count; /* the most that are kept */
+	int kept;
+	char *records; /* falling */
 };
 
-static int
-compare_falling(const void *left, const void *right)
-{
-	return memcmp(right, left, RECORD_BYTES);
-}
-
 gather_t *
 gather_create(int record_count)
 {
 	gather_t *gather = g_new0(gather_t, 1);
 
 	gather->record_count = record_count;
-	gather->records = g_string_sized_new(1024);
+	gather->records = g_malloc((gsize)record_count * RECORD_BYTES + 1);
 	return gather;
 }
 
@@ -33,35 +27,67 @@
 {
 	if (gather == NULL)
 		return;
-	g_string_free(gather->records, TRUE);
+	g_free(gather->records);
 	g_free(gather);
 }
 
-/* Sorts what was added, and cuts it to the greatest records. */
+static char *
+get_record(const gather_t *gather, int position)
+{
+	return gather->records + (size_t)position * RECORD_BYTES;
+}
+
+/* The first position whose record is less, so that equal ones all count. */
+static int
+find_position(const gather_t *gather, const char *record)
+{
+	int low = 0, high = gather->kept;
+
+	while (low < high) {
+		int middle = (low + high) / 2;
+
+		if (memcmp(get_record(gather, middle), record, RECORD_BYTES) <
+		    0)
+			high = middle;
+		else
+			low = middle + 1;
+	}
+	return low;
+}
+
+/* Most records of many parts are less than the least that is kept. */
 static void
-shrink(gather_t *gather)
+add_record(gather_t *gather, const char *record)
 {
-	size_t most = (size_t)gather->record_count * RECORD_BYTES;
+	bool is_full = gather->kept == gather->record_count;
+	int position;
 
-	qsort(gather->records->str, gather->records->len / RECORD_BYTES,
-	    RECORD_BYTES, compare_falling);
-	if (gather->records->len > most)
-		g_string_truncate(gather->records, most);
+	if (is_full &&
+	    (gather->kept == 0 ||
+		memcmp(get_record(gather, gather->kept - 1), record,
+		    RECORD_BYTES) >= 0))
+		return;
+	position = find_position(gather, record);
+	if (!is_full)
+		gather->kept++;
+	memmove(get_record(gather, position + 1), get_record(gather, position),
+	    (size_t)(gather->kept - 1 - position) * RECORD_BYTES);
+	memcpy(get_record(gather, position), record, RECORD_BYTES);
 }
 
 /* A remainder shorter than a record is no record. */
 void
 gather_add(gather_t *gather, const char *body, size_t length)
 {
-	size_t whole = length - length % RECORD_BYTES;
-
-	g_string_append_len(gather->records, body, (gssize)whole);
+	for (; length >= RECORD_BYTES; length -= RECORD_BYTES) {
+		add_record(gather, body);
+		body += RECORD_BYTES;
+	}
 }
 
 void
 gather_finish(gather_t *gather, GString *out)
 {
-	shrink(gather);
-	g_string_append_len(
-	    out, gather->records->str, (gssize)gather->records->len);
+	g_string_append_len(out, gather->records,
+	    (gssize)gather->kept * RECORD_BYTES);
 }
--- a/src/http.c
+++ b/src/http.c
@@ -44,6 +44,8 @@
 	message->text = g_string_sized_new(512);
 	message->headers = g_array_new(FALSE, FALSE, sizeof(http_header_t));
 	message->body = g_string_sized_new(512);
+	if (is_request)
+		message->relayed = g_string_sized_new(256);
 	message->head_bytes_max = head_bytes_max;
 	message->body_bytes_max = body_bytes_max;
 }
@@ -53,6 +55,7 @@
 {
 	enum http_parser_type type = message->parser.type;
 	GString *text = message->text, *body = message->body;
+	GString *relayed = message->relayed;
 	GArray *headers = message->headers;
 	size_t head_max = message->head_bytes_max;
 	size_t body_max = message->body_bytes_max;
@@ -62,6 +65,8 @@
 	message->parser.data = message;
 	message->text = g_string_truncate(text, 0);
 	message->body = g_string_truncate(body, 0);
+	message->relayed =
+	    relayed != NULL ? g_string_truncate(relayed, 0) : NULL;
 	message->headers = g_array_set_size(headers, 0);
 	message->head_bytes_max = head_max;
 	message->body_bytes_max = body_max;
@@ -74,6 +79,8 @@
 		return;
 	g_string_free(message->text, TRUE);
 	g_string_free(message->body, TRUE);
+	if (message->relayed != NULL)
+		g_string_free(message->relayed, TRUE);
 	g_array_unref(message->headers);
 	memset(message, 0, sizeof(*message));
 }
@@ -114,11 +121,15 @@
 const char *
 http_get_header(const http_message_t *message, const char *name)
 {
+	char first = g_ascii_tolower(name[0]);
+
 	for (guint i = 0; i < message->headers->len; i++) {
 		const http_header_t *header =
 		    &g_array_index(message->headers, http_header_t, i);
+		const char *each = message->text->str + header->name;
 
-		if (strcasecmp(message->text->str + header->name, name) == 0)
+		if (g_ascii_tolower(each[0]) == first &&
+		    strcasecmp(each, name) == 0)
 			return message->text->str + header->value;
 	}
 	return NULL;
--- a/src/http.h
+++ b/src/http.h
@@ -30,6 +30,7 @@
 	GString *text;	 /* names, values and target, each with its NUL */
 	GArray *headers; /* http_header_t */
 	GString *body;
+	GString *relayed; /* scratch of the protocol: its head for leafs */
 	guint target;  /* offset of the request target */
 	size_t body_bytes_max, head_bytes_max;
 	bool is_begun; /* a byte of it was seen */
@@ -77,6 +78,7 @@
     loop_t *loop, int fd, const stream_hooks_t *hooks, void *context);
 int stream_listen(const char *address, error_info_t *error); /* a descriptor */
 void stream_write(stream_t *stream, const char *data, size_t length);
+int64_t stream_get_rtt_us(const stream_t *stream); /* 0: not known */
 bool stream_is_written(const stream_t *stream); /* nothing waits here */
 /** Stops reading; bytes that come later wait in the kernel. */
 void stream_set_reading(stream_t *stream, bool is_reading);
--- a/src/source.c
+++ b/src/source.c
@@ -393,6 +393,8 @@
 			send_beat(feed, now_us);
 		else if (!source->is_leaving)
 			send_list(feed);
+		else
+			feed->next_us = INT64_MAX; /* its entry is removed */
 	} else if (feed->is_listed)
 		send_watch(feed);
 	else
--- a/src/stream.c
+++ b/src/stream.c
@@ -234,6 +234,17 @@
 	update_interest(stream);
 }
 
+int64_t
+stream_get_rtt_us(const stream_t *stream)
+{
+	struct tcp_info info = { 0 };
+	socklen_t length = sizeof(info);
+
+	if (getsockopt(stream->fd, IPPROTO_TCP, TCP_INFO, &info, &length) != 0)
+		return 0;
+	return info.tcpi_rtt;
+}
+
 bool
 stream_is_written(const stream_t *stream)
 {
--- a/src/tier.c
+++ b/src/tier.c
@@ -13,8 +13,8 @@
 
 #include "tier.h"
 
-#define RETURN_MARGIN_US 8000 /* network and processing on the way back */
-#define WAY_IN_US	 3000 /* from the caller's start to its arrival here */
+#define RETURN_MARGIN_US 8000 /* processing here and on the way back */
+#define CALLER_RTT_US	 2000 /* to a caller, where it is not measured */
 #define HEDGE_AGAIN_US	 15000	/* between looks at a part that can't hedge */
 #define RESTARTS_MOST	 3	/* of a part whose request did not arrive */
 #define LATE_FACTOR	 2	/* objectives to wait for a late whole answer */
@@ -470,9 +470,11 @@
 	    "\"id\":\"%s\",\"route\":\"%s\",\"version\":%" G_GUINT64_FORMAT
 	    ",\"outcome\":\"%s\",\"took_us\":%" G_GINT64_FORMAT
 	    ",\"patience_us\":%" G_GINT64_FORMAT
+	    ",\"caller_rtt_us\":%" G_GINT64_FORMAT
 	    ",\"parts\":%d,\"done\":%d,\"failed\":%d,\"extra\":%d",
 	    request->ask.id, request->route->name, request->table->version,
-	    outcome, took_us, request->ask.patience_us, request->part_count,
+	    outcome, took_us, request->ask.patience_us, request->ask.rtt_us,
+	    request->part_count,
 	    request->done_count, request->failed_count, request->extra_count);
 	tier->shell.log(tier->shell.context, event, text);
 }
@@ -877,6 +879,15 @@
 	return spent_us > 0 && state->patience_votes > 2 ? spent_us : 0;
 }
 
+/* The request's way in, the answer's way out, and a new connection's set-up. */
+static int64_t
+get_way_us(const tier_ask_t *ask)
+{
+	int64_t rtt_us = ask->rtt_us > 0 ? ask->rtt_us : CALLER_RTT_US;
+
+	return ask->is_on_new_connection ? 2 * rtt_us : rtt_us;
+}
+
 static void
 set_times(tier_request_t *request)
 {
@@ -897,7 +908,7 @@
 		request->deadline_us =
 		    MIN(request->deadline_us, request->tier->stopping_us);
 	request->stop_us = arrived_us + objective_us - spent_us -
-			   RETURN_MARGIN_US - WAY_IN_US;
+			   RETURN_MARGIN_US - get_way_us(&request->ask);
 	request->late_us = arrived_us + LATE_FACTOR * objective_us;
 	request->due_us = request->deadline_us;
 	if (route->is_gather && request->stop_us > arrived_us)
--- a/src/tier.h
+++ b/src/tier.h
@@ -191,6 +191,8 @@
 	const char *id, *host, *target;
 	int64_t patience_us; /* how long the caller waits; 0: not told */
 	int64_t arrived_us;
+	int64_t rtt_us; /* to the caller; 0: not known */
+	bool is_on_new_connection; /* the caller has waited for it too */
 	bool has_id;
 } tier_ask_t;
 
