Refuse names and values that peers could read in two ways; test framing at every cut

Cause: Debian's http-parser is built without strict mode, so a space in a header name and a folded value passed on.

--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,8 @@
 LIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lhttp_parser -lm -lpthread $(SANITIZE)
 
 SOURCES = $(filter-out src/main.c,$(wildcard src/*.c)) $(wildcard platform/*.c)
-OBJECTS = $(SOURCES:%.c=$(BUILD)/%.o)
-STANDINS = $(BUILD)/platform $(BUILD)/upstream $(BUILD)/site
+OBJECTS = $(SOURCES:%.c=$(BUILD)/objects/%.o)
+STANDINS = $(BUILD)/platform $(BUILD)/upstream $(BUILD)/site $(BUILD)/caller
 SUPPORT = $(wildcard tests/support/*.[ch])
 TESTS = $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/*.c))
 
@@ -40,7 +40,7 @@
 
 HEADERS = $(wildcard src/*.h platform/*.h)
 
-$(BUILD)/%.o: %.c $(HEADERS)
+$(BUILD)/objects/%.o: %.c $(HEADERS)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -c -o $@ $<
 
@@ -53,6 +53,9 @@
 $(BUILD)/site: stand-ins/site.c $(OBJECTS)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/caller: stand-ins/caller.c $(OBJECTS)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
 $(BUILD)/upstream: stand-ins/upstream.c stand-ins/stub.c $(OBJECTS)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
--- a/src/http.c
+++ b/src/http.c
@@ -92,6 +92,8 @@
 	size_t used;
 
 	message->is_begun = message->is_begun || length > 0;
+	message->fed = data;
+	message->fed_end = data + length;
 	used = http_parser_execute(
 	    &message->parser, &callbacks, data, length);
 	*consumed = used;
@@ -182,9 +184,31 @@
 	return parser->data;
 }
 
+/*
+ * The library's build is lenient on characters; what peers could read in two
+ * ways is refused here.
+ */
+static bool
+is_plain(const char *data, size_t length, bool is_name)
+{
+	for (size_t i = 0; i < length; i++) {
+		unsigned char each = (unsigned char)data[i];
+
+		if (each == 0x7f || (each < 0x20 && each != '\t'))
+			return false;
+		if (is_name && !g_ascii_isalnum(each) &&
+		    strchr("!#$%&'*+-.^_`|~", each) == NULL)
+			return false;
+	}
+	return true;
+}
+
 static int
 on_target(http_parser *parser, const char *data, size_t length)
 {
+	if (!is_plain(data, length, false) ||
+	    memchr(data, ' ', length) != NULL)
+		return -1;
 	g_string_append_len(get_message(parser)->text, data, (gssize)length);
 	return 0;
 }
@@ -204,6 +228,8 @@
 
 	if (message->has_head) /* trailers are not passed on */
 		return 0;
+	if (!is_plain(data, length, true))
+		return -1;
 	if (!message->is_value_next) {
 		if (message->headers->len >= HEADERS_MAX) {
 			message->is_too_large_head = true;
@@ -227,6 +253,14 @@
 
 	if (message->has_head)
 		return 0;
+	if (!is_plain(data, length, false))
+		return -1;
+	/* A value that goes on elsewhere in the buffer was folded. */
+	if (message->is_value_open && data != message->value_end &&
+	    !(data == message->fed && message->is_value_cut))
+		return -1;
+	message->value_end = data + length;
+	message->is_value_cut = message->value_end == message->fed_end;
 	if (!message->is_value_open) {
 		close_text(message);
 		g_array_index(message->headers, http_header_t,
--- a/src/http.h
+++ b/src/http.h
@@ -41,6 +41,8 @@
 	bool is_too_large_head, is_too_large_body;
 	bool is_persistent; /* the connection may be used again */
 	bool is_value_open; /* the parser is inside a header value */
+	const char *fed, *fed_end, *value_end; /* find folded values */
+	bool is_value_cut; /* the bytes fed before ended inside a value */
 	bool is_value_next; /* the next value byte begins a value */
 } http_message_t;
 
--- /dev/null
+++ b/tests/cases/tier_path.sh
@@ -0,0 +1,57 @@
+# The whole path of the tier on the platform's stand-in: gathered and forwarded
+# requests, bad input, a configuration in force, a drained leaf, a planned stop.
+. stand-ins/tier.sh
+tier_begin "$PA_SCRATCH" 24000
+tier_start 1
+tier_start 2
+status() { tier_call "$@" -o /dev/null -w '%{http_code}\n'; }
+
+echo "== requests"
+tier_call GET /list/2f r1 -D - -o "$PA_SCRATCH/body" | tr -d '\r' | grep -iE '^HTTP|missing'
+echo "records: $(($(stat -c %s "$PA_SCRATCH/body") / 16))"
+tier_call GET /fetch/a/../b%2F?q=1 r2 -D - -o /dev/null | tr -d '\r' | grep -iE '^HTTP|stamp|request-id' | sed 's/i-[01]\b/i-X/'
+status POST /fetch/x r3 -d 'a body'
+status POST /fetch/x r4 -H 'Transfer-Encoding: chunked' -d 'a chunked body'
+status HEAD /fetch/x r5 -I
+status GET /nothing/ r6
+status GET /late/x r7
+
+echo "== bad input"
+tier_raw 'GET /list/ HTTP/1.1\r\nHost: site.example\r\n\r\n'
+tier_raw 'POST /fetch/ HTTP/1.1\r\nHost: site.example\r\nPlantainarch-Request-Id: s1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
+tier_raw 'POST /fetch/ HTTP/1.1\r\nHost: site.example\r\nPlantainarch-Request-Id: s2\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef'
+tier_raw 'GET /fetch/ HTTP/1.1\r\nHost: site.example\r\nPlantainarch-Request-Id: s3\r\nBad Name: x\r\n\r\n'
+tier_raw 'POST /fetch/ HTTP/1.1\r\nHost: site.example\r\nPlantainarch-Request-Id: s4\r\nContent-Length: 70000\r\n\r\n'
+tier_raw "GET /fetch/ HTTP/1.1\r\nHost: site.example\r\nX: $(head -c 9000 /dev/zero | tr '\0' x)\r\n\r\n"
+tier_raw 'GET /fetch/ HTTP/1.1\r\nHost: site.ex'
+
+echo "== configuration"
+tier_control '/configuration?version=5' >/dev/null; sleep 1
+echo "versions in force: $(tier_metric 1 tier_configuration_version) $(tier_metric 2 tier_configuration_version)"
+status GET /late/x r8
+tier_control '/configuration?version=3' >/dev/null; sleep 1
+echo "after an older one: $(tier_metric 1 tier_configuration_version) $(tier_metric 2 tier_configuration_version)"
+
+echo "== a leaf drains, another's entry turns bad, a third goes"
+tier_control '/leaf?id=i-0&state=draining' >/dev/null
+tier_control '/leaf?id=i-3&state=bad' >/dev/null
+tier_control '/leaf?id=i-4&state=gone' >/dev/null
+sleep 2.6
+before=$(tier_control /stats | grep -o 'drained [0-9]*')
+"$PA_BUILD/caller" --targets "$(tier_callers 2)" --seconds 1 >"$PA_SCRATCH/load"
+grep -o 'wrong.*' "$PA_SCRATCH/load"
+[ "$(tier_control /stats | grep -o 'drained [0-9]*')" = "$before" ] && echo "none of them got a request"
+for id in 0 3 4; do tier_control "/leaf?id=i-$id&state=ready" >/dev/null; done
+
+echo "== a planned stop under load"
+"$PA_BUILD/caller" --targets "$(tier_callers 1)" --seconds 1.5 --rate 100 >"$PA_SCRATCH/load" &
+load=$!
+sleep 0.5
+kill -TERM "$tier_pid_1"
+sleep 0.1
+tier_ready 1
+wait $load
+grep -o 'refused.*' "$PA_SCRATCH/load"
+wait "$tier_pid_1"; echo "exit $?"
+grep -o 'LOG_TIER_STOPPED.*' "$PA_SCRATCH/vm1.log"
+tier_control /stats | grep -o 'twice [0-9]* unasked [0-9]*'
--- /dev/null
+++ b/tests/http_framing.c
@@ -0,0 +1,132 @@
+/**
+ * @file http_framing.c
+ * Messages whose framing is plain, broken or ambiguous, cut at every byte: the
+ * verdict must not depend on where the bytes are cut.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "http.h"
+
+typedef struct framing_case {
+	const char *name;
+	bool is_request;
+	const char *bytes;
+	http_state_t state; /* after all bytes */
+	const char *body;
+	const char *header, *value; /* NULL: not checked */
+	size_t rest;		    /* bytes behind the message */
+} framing_case_t;
+
+#define REQUEST "GET /a/b?c HTTP/1.1\r\nHost: h\r\n"
+
+static const framing_case_t cases[] = {
+	{ "no body", true, REQUEST "\r\n", HTTP_COMPLETE, "", "host", "h", 0 },
+	{ "empty value", true, REQUEST "X:\r\nY: 1\r\n\r\n", HTTP_COMPLETE, "",
+	    "x", "", 0 },
+	{ "a length", true, REQUEST "Content-Length: 3\r\n\r\nabc",
+	    HTTP_COMPLETE, "abc", "HOST", "h", 0 },
+	{ "chunks", true,
+	    REQUEST "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n"
+		    "0\r\n\r\n",
+	    HTTP_COMPLETE, "abc", NULL, NULL, 0 },
+	{ "trailers are dropped", true,
+	    REQUEST "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"
+		    "Plantainarch-Request-Id: x\r\n\r\n",
+	    HTTP_COMPLETE, "a", "plantainarch-request-id", NULL, 0 },
+	{ "a second request behind", true, REQUEST "\r\nGET /", HTTP_COMPLETE,
+	    "", NULL, NULL, 5 },
+	{ "length and chunks", true,
+	    REQUEST "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+		    "0\r\n\r\n",
+	    HTTP_BROKEN, NULL, NULL, NULL, 0 },
+	{ "two lengths", true,
+	    REQUEST "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+	    HTTP_BROKEN, NULL, NULL, NULL, 0 },
+	{ "negative length", true, REQUEST "Content-Length: -3\r\n\r\n",
+	    HTTP_BROKEN, NULL, NULL, NULL, 0 },
+	{ "space before the colon", true, REQUEST "X : 1\r\n\r\n", HTTP_BROKEN,
+	    NULL, NULL, NULL, 0 },
+	{ "space in a name", true, REQUEST "A B: 1\r\n\r\n", HTTP_BROKEN, NULL,
+	    NULL, NULL, 0 },
+	{ "folded value", true, REQUEST "X: 1\r\n 2\r\n\r\n", HTTP_BROKEN, NULL,
+	    NULL, NULL, 0 },
+	{ "control character", true, REQUEST "X: 1\x01\r\n\r\n", HTTP_BROKEN,
+	    NULL, NULL, NULL, 0 },
+	{ "another encoding", true,
+	    REQUEST "Transfer-Encoding: gzip\r\n\r\nabc", HTTP_BROKEN, NULL,
+	    NULL, NULL, 0 },
+	{ "no HTTP", true, "\x16\x03\x01 hello\r\n\r\n", HTTP_BROKEN, NULL,
+	    NULL, NULL, 0 },
+	{ "an answer", false, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+	    HTTP_COMPLETE, "ab", NULL, NULL, 0 },
+	{ "an answer and more", false,
+	    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabxy", HTTP_COMPLETE,
+	    "ab", NULL, NULL, 2 },
+	{ "an answer cut short", false,
+	    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", HTTP_PARTIAL,
+	    NULL, NULL, NULL, 0 },
+	{ "an answer without length", false, "HTTP/1.1 200 OK\r\n\r\nab",
+	    HTTP_PARTIAL, NULL, NULL, NULL, 0 },
+	{ "garbage for an answer", false, "xyzzy\r\n\r\n", HTTP_BROKEN, NULL,
+	    NULL, NULL, 0 },
+};
+
+static const char *const state_names[] = { "partial", "complete", "broken" };
+
+static int
+check(const framing_case_t *each, size_t cut)
+{
+	size_t length = strlen(each->bytes), used = 0, rest;
+	char *first = g_memdup2(each->bytes, cut);
+	char *second = g_memdup2(each->bytes + cut, length - cut);
+	http_message_t message;
+	http_state_t state;
+	const char *value;
+	int errors = 0;
+
+	http_message_begin(&message, each->is_request, 4096, 4096);
+	state = http_message_feed(&message, first, cut, &used);
+	rest = cut - used + length - cut;
+	if (state == HTTP_PARTIAL) {
+		state = http_message_feed(
+		    &message, second, length - cut, &used);
+		rest = length - cut - used;
+	}
+	if (state != each->state) {
+		printf("%s, cut at %zu: %s in place of %s\n", each->name, cut,
+		    state_names[state], state_names[each->state]);
+		errors++;
+	} else if (state == HTTP_COMPLETE) {
+		value = each->header != NULL
+			    ? http_get_header(&message, each->header)
+			    : NULL;
+		if (strcmp(message.body->str, each->body) != 0 ||
+		    rest != each->rest ||
+		    g_strcmp0(value, each->value) != 0) {
+			printf("%s, cut at %zu: body \"%s\" rest %zu value "
+			       "\"%s\"\n",
+			    each->name, cut, message.body->str, rest,
+			    value != NULL ? value : "none");
+			errors++;
+		}
+	}
+	http_message_end(&message);
+	g_free(first);
+	g_free(second);
+	return errors;
+}
+
+int
+main(void)
+{
+	int errors = 0, count = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		for (size_t cut = 1; cut < strlen(cases[i].bytes); cut++) {
+			errors += check(&cases[i], cut);
+			count++;
+		}
+	printf("%d messages, %d wrong\n", count, errors);
+	return errors == 0 ? 0 : 1;
+}
