--- a/src/events.h
+++ b/src/events.h
@@ -91,11 +91,19 @@
     "a feed of the store is lost; it is tried again with backoff")
 LOG_EVENT(615, LOG_TIER_STORE_REGAINED, G_LOG_LEVEL_MESSAGE,
     "a feed of the store answers again")
+LOG_EVENT(616, LOG_TIER_STORE_READ, G_LOG_LEVEL_MESSAGE,
+    "a list or the changes of one feed were read up to a revision")
+LOG_EVENT(617, LOG_TIER_LEAFS, G_LOG_LEVEL_MESSAGE,
+    "more leafs changed at once than are logged one by one")
 LOG_EVENT(620, LOG_TIER_SERVED, G_LOG_LEVEL_INFO,
     "a request was answered whole, in time and without extra attempts")
 LOG_EVENT(621, LOG_TIER_SERVED_OTHERWISE, G_LOG_LEVEL_MESSAGE,
     "a request ended late, partial, hedged, refused or failed")
 LOG_EVENT(622, LOG_TIER_ATTEMPT_FAILED, G_LOG_LEVEL_MESSAGE,
     "a leaf did not answer an attempt with success")
+LOG_EVENT(623, LOG_TIER_NOT_RETRIED, G_LOG_LEVEL_MESSAGE,
+    "a failed attempt was not repeated, and why")
+LOG_EVENT(624, LOG_TIER_RETRIED, G_LOG_LEVEL_MESSAGE,
+    "a failed attempt was repeated at another leaf")
 LOG_EVENT(690, LOG_LINES_DROPPED, G_LOG_LEVEL_WARNING,
     "log lines were dropped; the field counts them")
--- a/src/source.c
+++ b/src/source.c
@@ -17,7 +17,9 @@
 #define CALL_TIMEOUT_US	   1500000 /* answers take milliseconds */
 #define BACKOFF_FIRST_US   100000
 #define BACKOFF_MOST_US	   800000 /* a regained store is used within 1 s */
-#define VANISH_US	   2000000 /* entries lost in an outage are back by then */
+#define VANISH_US	   2500000 /* entries lost in an outage are back by then */
+#define VANISH_PART	   0.4 /* of drain_ms, after a store that was well */
+#define UNWELL_US	   3000000 /* a store is well this long after an outage */
 #define VM_POLL_US	   15000000
 #define VM_POLL_FIRST_US   2500000 /* all VMs start within 0.3 s */
 #define VM_BEAT_US	   20000000
@@ -30,6 +32,7 @@
  */
 #define LEAFS_GATHER_PART  0.35
 #define CONFIG_GATHER_PART 0.15
+#define EVENTS_MANY	   100 /* more may follow: the store answers in pages */
 #define PUBLISH_DELAY_US   2000 /* changes that arrive together */
 
 typedef enum feed_step {
@@ -46,8 +49,9 @@
 	stream_t *stream;
 	http_message_t message;
 	bool is_in_call, is_listed, is_lost;
+	int64_t lost_us; /* the last failure */
 	int64_t revision;
-	int64_t next_us, timeout_us, backoff_us;
+	int64_t next_us, sent_us, timeout_us, backoff_us;
 	char after[KEY_BYTES];
 	GHashTable *seen; /* names of the list in progress */
 } feed_state_t;
@@ -55,6 +59,7 @@
 typedef struct leaf_record {
 	leaf_entry_t entry;
 	int64_t vanished_us; /* 0: its entry is there */
+	int64_t gone_us;     /* it is dropped then */
 } leaf_record_t;
 
 typedef struct vm_record {
@@ -204,15 +209,30 @@
 	record->changed_us = clock_get_us();
 }
 
+/*
+ * How long a leaf whose entry went away stays as the last resort. An outage
+ * that this VM has not seen may have removed it too, so it is never nothing.
+ */
+static int64_t
+get_vanish_us(const source_t *source, int64_t now_us)
+{
+	const feed_state_t *feed = &source->feeds[FEED_LEAFS];
+
+	if (feed->lost_us != 0 && now_us - feed->lost_us < UNWELL_US)
+		return VANISH_US;
+	return (int64_t)((double)source->settings.drain_us * VANISH_PART);
+}
+
 static void
 vanish_leaf(source_t *source, leaf_record_t *record)
 {
 	if (record->vanished_us != 0)
 		return;
 	record->vanished_us = clock_get_us();
+	record->gone_us =
+	    record->vanished_us + get_vanish_us(source, record->vanished_us);
 	record->entry.is_vanished = true;
-	source->vanish_due_us = MIN(
-	    source->vanish_due_us, record->vanished_us + VANISH_US);
+	source->vanish_due_us = MIN(source->vanish_due_us, record->gone_us);
 	mark_changed(source);
 }
 
@@ -316,6 +336,7 @@
 		    G_GINT64_FORMAT,
 		    feed_names[feed->feed], why, feed->revision);
 	feed->is_lost = true;
+	feed->lost_us = now_us;
 	metric_add(METRIC_TIER_STORE_FAILURES, 1);
 	rest(feed, now_us, feed->backoff_us);
 }
@@ -333,7 +354,8 @@
 		return;
 	}
 	feed->is_in_call = true;
-	feed->timeout_us = clock_get_us() + timeout_us;
+	feed->sent_us = clock_get_us();
+	feed->timeout_us = feed->sent_us + timeout_us;
 	metric_add(METRIC_TIER_STORE_CALLS, 1);
 	stream_write(feed->stream, call->str, call->len);
 }
@@ -447,6 +469,20 @@
 	}
 }
 
+/* The polled list of VMs changes nothing mostly, and is not logged. */
+static void
+log_read(const feed_state_t *feed, bool is_list, int64_t revision,
+    int64_t now_us)
+{
+	if (feed->feed == FEED_VMS)
+		return;
+	log_fields(LOG_TIER_STORE_READ,
+	    "\"feed\":\"%s\",\"call\":\"%s\",\"revision\":%" G_GINT64_FORMAT
+	    ",\"before\":%" G_GINT64_FORMAT ",\"took_us\":%" G_GINT64_FORMAT,
+	    feed_names[feed->feed], is_list ? "list" : "watch", revision,
+	    feed->revision, now_us - feed->sent_us);
+}
+
 static void
 handle_page(feed_state_t *feed, int64_t now_us)
 {
@@ -474,10 +510,12 @@
 		send_list(feed);
 		return;
 	}
+	log_read(feed, is_list, page.revision, now_us);
 	feed->revision = page.revision;
 	if (is_list)
 		finish_list(feed);
-	rest(feed, now_us, get_rest_us(feed));
+	rest(feed, now_us,
+	    !is_list && page.count >= EVENTS_MANY ? 0 : get_rest_us(feed));
 	loop_wake(feed->source->loop);
 }
 
@@ -576,12 +614,12 @@
 
 		if (record->vanished_us == 0)
 			continue;
-		if (now_us >= record->vanished_us + VANISH_US) {
+		if (now_us >= record->gone_us) {
 			g_hash_table_iter_remove(&iter);
 			mark_changed(source);
 		} else
-			source->vanish_due_us = MIN(source->vanish_due_us,
-			    record->vanished_us + VANISH_US);
+			source->vanish_due_us =
+			    MIN(source->vanish_due_us, record->gone_us);
 	}
 }
 
--- a/src/tier.c
+++ b/src/tier.c
@@ -26,6 +26,7 @@
 #define CONNECTION_SLACK 2	/* of a leaf's limit, for VMs that join */
 #define LATENCY_WEIGHT	 0.1
 #define LATENCY_CLIP_US	 250000.0 /* a pause more or less */
+#define LEAF_LINES_MOST	 8	  /* of one directory; the rest is counted */
 #define SETTLE_US	 10000000 /* leafs drop dead connections in this */
 #define LEAF_LIMIT_MOST	 32	/* connections of one VM to one leaf */
 #define RTT_SAME_US	 400	/* until measured, by distance */
@@ -97,6 +98,7 @@
 	int64_t sweep_us, stopping_us;
 	int64_t due_us; /* no request is due before */
 	int64_t begun_us;
+	int changed_leafs; /* by the directory that is being applied */
 	bool is_settling; /* the VM's connections of before may linger */
 };
 
@@ -308,6 +310,8 @@
 {
 	char text[512];
 
+	if (++tier->changed_leafs > LEAF_LINES_MOST)
+		return;
 	snprintf(text, sizeof(text),
 	    "\"leaf\":\"%s\",\"service\":\"%s\",\"address\":\"%s\","
 	    "\"change\":\"%s\"",
@@ -365,6 +369,21 @@
 	}
 }
 
+/* Says how many changes have no line of their own. */
+static void
+log_leafs(tier_t *tier)
+{
+	char text[128];
+
+	if (tier->changed_leafs > LEAF_LINES_MOST) {
+		snprintf(text, sizeof(text), "\"not_listed\":%d,\"known\":%u",
+		    tier->changed_leafs - LEAF_LINES_MOST,
+		    g_hash_table_size(tier->leafs));
+		tier->shell.log(tier->shell.context, LOG_TIER_LEAFS, text);
+	}
+	tier->changed_leafs = 0;
+}
+
 void
 tier_set_directory(
     tier_t *tier, int64_t now_us, const directory_t *directory)
@@ -394,6 +413,7 @@
 		log_leaf(tier, &leaf->entry, "gone");
 		remove_leaf(tier, leaf);
 	}
+	log_leafs(tier);
 	g_ptr_array_unref(gone);
 	g_hash_table_unref(named);
 	tier->vm_count = MAX(directory->vm_count, 1);
@@ -717,29 +737,55 @@
 /*
  * Sends one more attempt if a leaf is free that can answer in time and the
  * budget allows it. A hedge goes to no leaf that is stalled itself.
+ * Returns NULL, or why nothing was sent.
  */
-static bool
+static const char *
 send_extra(tier_part_t *part, int64_t now_us, bool is_hedge)
 {
 	tier_request_t *request = part->request;
 	tier_leaf_t *leaf;
 	int64_t expected_us;
 
-	if (part->sent_count >= MIN(request->route->attempts, ATTEMPTS_LIMIT))
-		return false;
-	if (reach_choose(part->service, &request->state->kind, request->rank,
-		&part->tried, now_us, request->tier->random, &leaf,
-		&expected_us) != REACH_FOUND)
-		return false;
-	if (is_hedge && (leaf->belief.is_stalled ||
-			    now_us + expected_us > request->deadline_us))
-		return false;
+	if (part->sent_count >= MIN(request->route->attempts, ATTEMPTS_LIMIT) ||
+	    part->tried.count >= ATTEMPTS_LIMIT)
+		return "no attempt is left";
+	switch (reach_choose(part->service, &request->state->kind,
+	    request->rank, &part->tried, now_us, request->tier->random, &leaf,
+	    &expected_us)) {
+	case REACH_NONE:
+		return "no other leaf can be used";
+	case REACH_BUSY:
+		return "all other leafs are busy";
+	case REACH_FOUND:
+		break;
+	}
+	if (is_hedge && leaf->belief.is_stalled)
+		return "the other leaf is stalled too";
+	if (is_hedge && now_us + expected_us > request->deadline_us)
+		return "no time is left";
 	if (!take_budget(part, now_us)) {
 		metric_add(METRIC_TIER_BUDGET_EMPTY, 1);
-		return false;
+		return "the budget is empty";
 	}
 	send_attempt(part, leaf, now_us, true);
-	return true;
+	return NULL;
+}
+
+static void
+log_retry(const tier_part_t *part, const char *why_not)
+{
+	tier_t *tier = part->request->tier;
+	const budget_t *budget = &part->service->budget;
+	char text[384];
+
+	snprintf(text, sizeof(text),
+	    "\"id\":\"%s\",\"service\":\"%s\",\"sent\":%d,\"budget_first\":%d,"
+	    "\"budget_extra\":%d,\"vms\":%d,\"why\":\"%s\"",
+	    part->request->ask.id, part->service->name, part->sent_count,
+	    budget->first_sum, budget->extra_sum, tier->vm_count,
+	    why_not != NULL ? why_not : "");
+	tier->shell.log(tier->shell.context,
+	    why_not != NULL ? LOG_TIER_NOT_RETRIED : LOG_TIER_RETRIED, text);
 }
 
 static void
@@ -817,7 +863,7 @@
 		note_stall(tier, open->leaf, now_us);
 	if (!part->request->route->may_repeat)
 		return;
-	if (send_extra(part, now_us, true))
+	if (send_extra(part, now_us, true) == NULL)
 		part->hedge_us = INT64_MAX;
 }
 
@@ -1151,9 +1197,13 @@
 			/* Never arrived: neither an attempt nor an extra one. */
 			if (restart_part(part, now_us))
 				return;
-		} else if (part->tried.count < ATTEMPTS_LIMIT &&
-			   send_extra(part, now_us, false))
-			return;
+		} else {
+			const char *why_not = send_extra(part, now_us, false);
+
+			log_retry(part, why_not);
+			if (why_not == NULL)
+				return;
+		}
 	}
 	if (!request->route->is_gather &&
 	    answer->outcome == OUTCOME_LEAF_FAILED) {
--- a/src/tier_shell.h
+++ b/src/tier_shell.h
@@ -23,6 +23,7 @@
 typedef struct feed_page {
 	int64_t revision; /* to watch from */
 	bool has_more;
+	int count;	       /* objects or events in it */
 	char after[KEY_BYTES]; /* the name to go on behind */
 } feed_page_t;
 
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -8,7 +8,8 @@
  *                                  error shed slow moved; leaf=all for all
  * GET  /store?mode=M               M: up down silent busy lost compact
  * GET  /leaf?id=ID&state=S         S: ready draining gone bad
- * GET  /configuration?version=N&patience=MS   the next configuration
+ * GET  /configuration?version=N   the next configuration
+ * GET  /churn?version=N           N changes of one leaf's entry
  */
 #include <argtable2.h>
 #include <jansson.h>
@@ -24,7 +25,7 @@
 #define BODY_BYTES   1048576
 #define LEAFS_MAX    256
 #define FIRST_REV    100
-#define HISTORY_MOST 1000
+#define EVENTS_A_PAGE 120 /* of one answer to a watch */
 
 typedef struct site site_t;
 
@@ -159,6 +160,7 @@
 {
 	site_t *site = link->port->site;
 	json_t *events;
+	int64_t last = site->revision;
 
 	if (link->watch_revision < site->oldest) {
 		link->watch_revision = -1;
@@ -170,12 +172,18 @@
 	     each = each->next) {
 		site_event_t *event = each->data;
 
-		if (event->revision > link->watch_revision &&
-		    strcmp(event->kind, link->kind) == 0)
-			json_array_append_new(events,
-			    json_pack("{s:b,s:O}", "deleted",
-				event->is_removed, "object", event->object));
+		if (event->revision <= link->watch_revision ||
+		    strcmp(event->kind, link->kind) != 0)
+			continue;
+		json_array_append_new(events,
+		    json_pack("{s:b,s:O}", "deleted", event->is_removed,
+			"object", event->object));
+		last = event->revision;
+		if (json_array_size(events) >= EVENTS_A_PAGE)
+			break;
 	}
+	if (json_array_size(events) < EVENTS_A_PAGE)
+		last = site->revision;
 	if (json_array_size(events) == 0 && clock_get_us() < link->due_us) {
 		json_decref(events);
 		return false;
@@ -183,7 +191,7 @@
 	link->watch_revision = -1;
 	respond_json(link, 200,
 	    json_pack("{s:o,s:I}", "events", events, "current_rev",
-		(json_int_t)site->revision));
+		(json_int_t)last));
 	return true;
 }
 
@@ -526,6 +534,17 @@
 		register_leaf(site, leaf, state);
 }
 
+/* Many changes at once, which change nothing that matters. */
+static void
+churn(site_t *site, int count)
+{
+	site_leaf_t *last =
+	    g_ptr_array_index(site->leafs, site->leafs->len - 1);
+
+	for (int i = 0; i < count; i++)
+		register_leaf(site, last, "ready");
+}
+
 static void
 compact(site_t *site)
 {
@@ -568,6 +587,8 @@
 		set_fault(site, id, kind, share);
 	else if (g_str_has_prefix(target, "/leaf"))
 		set_leaf(site, name, state);
+	else if (g_str_has_prefix(target, "/churn"))
+		churn(site, atoi(version));
 	else if (g_str_has_prefix(target, "/configuration"))
 		put_configuration(site, atoi(version), 2000);
 	else if (g_str_has_prefix(target, "/store")) {
