--- a/src/belief.c
+++ b/src/belief.c
@@ -8,34 +8,35 @@
  */
 #include "tier.h"
 
-#define WORK_FIRST_US	  20000 /* mean work until a request has shown it */
-#define KIND_WEIGHT	  0.02	/* of one sample in the kind's mean */
-#define SPEED_WEIGHT	  0.1	/* of one sample in a leaf's speed */
-#define FAILURE_WEIGHT	  0.15	/* of one sample in a leaf's failures */
-#define SAMPLE_CLIP	  3.0	/* one stalled request is no slow leaf */
-#define TAIL_FIRST	  2.5	/* multiples of the expected work */
-#define TAIL_QUANTILE	  0.93	/* the rest may be hedged within the budget */
-#define TAIL_STEP	  0.05	/* change of the estimate by one sample */
-#define TAIL_LEAST	  1.3
-#define TAIL_MOST	  8.0
-#define IDLE_QUANTILE	  0.25	/* of the work, with no queue before it */
-#define IDLE_STEP	  0.02
-#define LOAD_WEIGHT	  0.2
-#define LOAD_CLIP	  8.0 /* one pause is no load */
-#define SPEED_LEAST	  0.2
-#define SPEED_MOST	  20.0
-#define COLD_FACTOR	  1.6	  /* work of a leaf that has just started */
-#define OVERDUE_FLOOR_US  8000	  /* jitter of the network and the loop */
-#define BACKOFF_FIRST_US  250000  /* the first rest of an unreachable leaf */
-#define BACKOFF_MOST_US	  3000000 /* below the time that a crash lasts */
-#define CROWDED_US	  400000 /* until a new connection is tried again */
-#define FAILURES_DOWN	  0.6	  /* share from which a leaf rests */
+#define WORK_FIRST_US	 20000 /* mean work until a request has shown it */
+#define KIND_WEIGHT	 0.02  /* of one sample in the kind's mean */
+#define SPEED_WEIGHT	 0.1   /* of one sample in a leaf's speed */
+#define FAILURE_WEIGHT	 0.15  /* of one sample in a leaf's failures */
+#define SAMPLE_CLIP	 3.0   /* one stalled request is no slow leaf */
+#define TAIL_FIRST	 2.5   /* multiples of the expected work */
+#define TAIL_QUANTILE	 0.93  /* the rest may be hedged within the budget */
+#define TAIL_STEP	 0.05  /* change of the estimate by one sample */
+#define TAIL_LEAST	 1.3
+#define TAIL_MOST	 8.0
+#define IDLE_QUANTILE	 0.25 /* of the work, with no queue before it */
+#define IDLE_STEP	 0.02
+#define LOAD_WEIGHT	 0.2
+#define LOAD_CLIP	 8.0 /* one pause is no load */
+#define SPEED_LEAST	 0.2
+#define SPEED_MOST	 20.0
+#define COLD_FACTOR	 1.6	 /* work of a leaf that has just started */
+#define OVERDUE_FLOOR_US 8000	 /* jitter of the network and the loop */
+#define BACKOFF_FIRST_US 250000	 /* the first rest of an unreachable leaf */
+#define BACKOFF_MOST_US	 3000000 /* below the time that a crash lasts */
+#define CROWDED_US	 400000	 /* until a new connection is tried again */
+#define FAILURES_DOWN	 0.6	 /* share from which a leaf rests */
 
 const char *
 outcome_get_name(attempt_outcome_t outcome)
 {
 	static const char *const names[] = { "answered", "leaf_failed",
-		"not_run", "misdirected", "unsent", "crowded", "broken", "silent" };
+		"not_run", "misdirected", "unsent", "crowded", "broken",
+		"silent" };
 
 	return names[outcome];
 }
@@ -43,7 +44,7 @@
 void
 kind_belief_begin(kind_belief_t *kind)
 {
-	*kind = (kind_belief_t) { .work_us = WORK_FIRST_US,
+	*kind = (kind_belief_t){ .work_us = WORK_FIRST_US,
 		.idle_work_us = WORK_FIRST_US,
 		.tail = TAIL_FIRST };
 }
@@ -51,7 +52,7 @@
 void
 leaf_belief_begin(leaf_belief_t *leaf)
 {
-	*leaf = (leaf_belief_t) { .speed = 1.0, .load = 1.0 };
+	*leaf = (leaf_belief_t){ .speed = 1.0, .load = 1.0 };
 }
 
 static double
@@ -89,8 +90,7 @@
 		idle = MIN(idle, work);
 	kind->idle_work_us = MAX(idle, 100.0);
 	work = MIN(work, LOAD_CLIP * kind->idle_work_us);
-	leaf->load +=
-	    LOAD_WEIGHT * (work / kind->idle_work_us - leaf->load);
+	leaf->load += LOAD_WEIGHT * (work / kind->idle_work_us - leaf->load);
 }
 
 void
--- a/src/directory.c
+++ b/src/directory.c
@@ -59,8 +59,7 @@
 }
 
 void
-route_table_add_service(
-    route_table_t *table, const char *name, int connections)
+route_table_add_service(route_table_t *table, const char *name, int connections)
 {
 	service_entry_t *service = g_new0(service_entry_t, 1);
 
--- a/src/document.c
+++ b/src/document.c
@@ -57,8 +57,9 @@
 	settings_reset(settings);
 	if (!document_begin(&reading, name, text, length, problems))
 		return false;
-	document_read_pairs(&reading, yaml_document_get_root_node(&reading.yaml),
-	    "document", read_fleet_pair, settings);
+	document_read_pairs(&reading,
+	    yaml_document_get_root_node(&reading.yaml), "document",
+	    read_fleet_pair, settings);
 	if (settings->fleet[0] == '\0')
 		document_add_problem(&reading, NULL, "fleet",
 		    "is missing; name the fleet, e.g. fleet: van-damme");
@@ -81,8 +82,9 @@
 	g_strlcpy(settings->log_level, "message", sizeof(settings->log_level));
 	if (!document_begin(&reading, name, text, length, problems))
 		return false;
-	document_read_pairs(&reading, yaml_document_get_root_node(&reading.yaml),
-	    "document", read_vm_pair, settings);
+	document_read_pairs(&reading,
+	    yaml_document_get_root_node(&reading.yaml), "document",
+	    read_vm_pair, settings);
 	if (settings->id[0] == '\0')
 		document_add_problem(&reading, NULL, "id",
 		    "is missing; give the VM a unique name");
@@ -100,7 +102,8 @@
 		    "both are needed; give two free ports");
 	if ((settings->curve_public[0] == '\0') !=
 	    (settings->curve_secret[0] == '\0'))
-		document_add_problem(&reading, NULL, "curve_public, curve_secret",
+		document_add_problem(&reading, NULL,
+		    "curve_public, curve_secret",
 		    "only one of the pair is set; make a pair with "
 		    "'plantainarch keys'");
 	yaml_document_delete(&reading.yaml);
@@ -137,8 +140,8 @@
 }
 
 void
-document_add_problem(reading_t *reading, const yaml_node_t *node, const char *key,
-    const char *format, ...)
+document_add_problem(reading_t *reading, const yaml_node_t *node,
+    const char *key, const char *format, ...)
 {
 	va_list arguments;
 	char *text;
@@ -194,24 +197,27 @@
 		yaml_node_t *value =
 		    yaml_document_get_node(&reading->yaml, pair->value);
 
-		if (!g_hash_table_add(seen, (gpointer)document_get_scalar(name)))
-			document_add_problem(reading, name, document_get_scalar(name),
+		if (!g_hash_table_add(
+			seen, (gpointer)document_get_scalar(name)))
+			document_add_problem(reading, name,
+			    document_get_scalar(name),
 			    "is given twice; keep one");
 		else
-			callback(
-			    reading, document_get_scalar(name), name, value, context);
+			callback(reading, document_get_scalar(name), name,
+			    value, context);
 	}
 	g_hash_table_destroy(seen);
 	return true;
 }
 
 bool
-document_read_name(reading_t *reading, const char *key, yaml_node_t *node, char *target,
-    size_t size)
+document_read_name(reading_t *reading, const char *key, yaml_node_t *node,
+    char *target, size_t size)
 {
 	char found[NAME_BYTES];
 
-	if (node->type != YAML_SCALAR_NODE || document_get_scalar(node)[0] == '\0' ||
+	if (node->type != YAML_SCALAR_NODE ||
+	    document_get_scalar(node)[0] == '\0' ||
 	    strlen(document_get_scalar(node)) >= size) {
 		document_add_problem(reading, node, key,
 		    "found %s; allowed is a text of 1 to %zu bytes",
@@ -247,8 +253,8 @@
 {
 	char allowed[REASON_BYTES], found[NAME_BYTES];
 
-	if (settings_parse_value(SETTING_DEADLINE_US, document_get_scalar(node), target,
-		allowed, sizeof(allowed)))
+	if (settings_parse_value(SETTING_DEADLINE_US, document_get_scalar(node),
+		target, allowed, sizeof(allowed)))
 		return true;
 	document_add_problem(reading, node, key, "found %s; allowed is %s",
 	    describe_node(node, found, sizeof(found)), allowed);
@@ -266,7 +272,8 @@
 		document_read_name(reading, key, value, settings->fleet,
 		    sizeof(settings->fleet));
 	} else if (strcmp(key, "defaults") == 0) {
-		document_read_pairs(reading, value, key, read_default_pair, settings);
+		document_read_pairs(
+		    reading, value, key, read_default_pair, settings);
 	} else if (strcmp(key, "exceptions") == 0) {
 		if (value->type != YAML_SEQUENCE_NODE) {
 			document_add_problem(reading, value, key,
@@ -297,8 +304,8 @@
 	int64_t value = 0;
 
 	if (node->type == YAML_SCALAR_NODE &&
-	    settings_parse_value(
-		key, document_get_scalar(node), &value, allowed, sizeof(allowed))) {
+	    settings_parse_value(key, document_get_scalar(node), &value,
+		allowed, sizeof(allowed))) {
 		*target = value;
 		return true;
 	}
@@ -341,7 +348,8 @@
 	}
 	if (value->type == YAML_MAPPING_NODE &&
 	    settings_get_info(target.key)->by_rank) {
-		document_read_pairs(reading, value, key, read_rank_pair, &target);
+		document_read_pairs(
+		    reading, value, key, read_rank_pair, &target);
 		return;
 	}
 	if (!read_value(reading, target.key, value, &number))
@@ -415,8 +423,8 @@
 		entry->has_scope = document_read_pairs(
 		    reading, value, key, read_scope_pair, &entry->scope);
 	else if (strcmp(key, "set") == 0)
-		entry->has_set =
-		    document_read_pairs(reading, value, key, read_set_pair, entry);
+		entry->has_set = document_read_pairs(
+		    reading, value, key, read_set_pair, entry);
 	else if (strcmp(key, "reason") == 0)
 		entry->has_reason = document_read_name(
 		    reading, key, value, entry->reason, sizeof(entry->reason));
@@ -534,16 +542,19 @@
 	else if (strcmp(key, "log_format") == 0 &&
 		 (strcmp(document_get_scalar(value), "json") == 0 ||
 		     strcmp(document_get_scalar(value), "text") == 0))
-		settings->log_json = strcmp(document_get_scalar(value), "json") == 0;
+		settings->log_json =
+		    strcmp(document_get_scalar(value), "json") == 0;
 	else if (strcmp(key, "log_format") == 0)
 		document_add_problem(reading, value, key,
-		    "found \"%s\"; allowed is text or json", document_get_scalar(value));
+		    "found \"%s\"; allowed is text or json",
+		    document_get_scalar(value));
 	else if (strcmp(key, "log_level") != 0)
 		document_add_problem(reading, key_node, key,
 		    "is unknown; allowed are id, zone, region, address, "
 		    "caller_port, peer_port, platform, threads, curve_public, "
 		    "curve_secret, seeds, drain, log_level, log_format");
-	else if (document_read_name(reading, key, value, level, sizeof(level)) &&
+	else if (document_read_name(
+		     reading, key, value, level, sizeof(level)) &&
 		 strstr("debug info message warning", level) == NULL)
 		document_add_problem(reading, value, key,
 		    "found \"%s\"; allowed is debug, info, message or warning",
--- a/src/document.h
+++ b/src/document.h
@@ -24,9 +24,9 @@
 void document_add_problem(reading_t *reading, const yaml_node_t *node,
     const char *key, const char *format, ...) G_GNUC_PRINTF(4, 5);
 const char *document_get_scalar(const yaml_node_t *node);
-bool document_read_pairs(reading_t *reading, yaml_node_t *node,
-    const char *key, pair_fn_t callback, void *context);
-bool document_read_name(reading_t *reading, const char *key,
-    yaml_node_t *node, char *target, size_t size);
+bool document_read_pairs(reading_t *reading, yaml_node_t *node, const char *key,
+    pair_fn_t callback, void *context);
+bool document_read_name(reading_t *reading, const char *key, yaml_node_t *node,
+    char *target, size_t size);
 
 #endif
--- a/src/entrance.c
+++ b/src/entrance.c
@@ -87,8 +87,12 @@
 void
 entrance_destroy(entrance_t *entrance)
 {
-	while (!LIST_EMPTY(&entrance->links))
-		destroy_link(LIST_FIRST(&entrance->links));
+	caller_link_t *link, *next;
+
+	for (link = LIST_FIRST(&entrance->links); link != NULL; link = next) {
+		next = LIST_NEXT(link, in_entrance);
+		destroy_link(link);
+	}
 	loop_remove_timer(entrance->loop, run_timer, entrance);
 	loop_unset_fd(entrance->loop, entrance->fd);
 	close(entrance->fd);
@@ -146,14 +150,14 @@
 		link->backlog = g_string_new(NULL);
 		http_message_begin(&link->message, true, limits->head_bytes,
 		    limits->body_bytes);
-		link->stream = stream_adopt(
-		    entrance->loop, accepted, &stream_hooks, link);
+		link->stream =
+		    stream_adopt(entrance->loop, accepted, &stream_hooks, link);
 		link->rtt_us = stream_get_rtt_us(link->stream);
 		LIST_INSERT_HEAD(&entrance->links, link, in_entrance);
 	}
 }
 
-/* ---- Answers ---------------------------------------------------------------- */
+/* ---- Answers ---- */
 
 static void
 write_own(GString *out, const tier_answer_t *answer)
@@ -175,8 +179,8 @@
     GString *out, const protocol_t *protocol, const tier_answer_t *answer)
 {
 	protocol->write_gather_head(out, answer);
-	g_string_append_printf(out, "Content-Length: %" G_GSIZE_FORMAT
-				    "\r\n\r\n",
+	g_string_append_printf(out,
+	    "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
 	    answer->records->len);
 	g_string_append_len(
 	    out, answer->records->str, (gssize)answer->records->len);
@@ -192,8 +196,8 @@
 
 	http_append_end_to_end(out, message, none);
 	if (message->is_without_body && length != NULL)
-		g_string_append_printf(out, "Content-Length: %s\r\n\r\n",
-		    length);
+		g_string_append_printf(
+		    out, "Content-Length: %s\r\n\r\n", length);
 	else if (answer->status == 204 || answer->status == 304)
 		g_string_append(out, "\r\n");
 	else
@@ -237,7 +241,7 @@
 	loop_wake(entrance->loop);
 }
 
-/* ---- Requests --------------------------------------------------------------- */
+/* ---- Requests ---- */
 
 static void
 begin_request(caller_link_t *link)
@@ -269,9 +273,9 @@
 static void
 refuse_message(caller_link_t *link, int status, const char *reason)
 {
-	tier_answer_t answer = { .type = ANSWER_OWN,
-		.status = status,
-		.reason = reason };
+	tier_answer_t answer = {
+		.type = ANSWER_OWN, .status = status, .reason = reason
+	};
 
 	metric_add(METRIC_BAD_REQUESTS, 1);
 	link->is_working = true;
@@ -290,8 +294,7 @@
 		link->since_us = clock_get_us();
 	switch (http_message_feed(&link->message, data, length, &used)) {
 	case HTTP_PARTIAL:
-		if (link->message.has_head &&
-		    link->message.body->len == 0 &&
+		if (link->message.has_head && link->message.body->len == 0 &&
 		    http_get_header(&link->message, "expect") != NULL) {
 			static const char go_on[] =
 			    "HTTP/1.1 100 Continue\r\n\r\n";
--- a/src/gather.c
+++ b/src/gather.c
@@ -63,9 +63,8 @@
 	int position;
 
 	if (is_full &&
-	    (gather->kept == 0 ||
-		memcmp(get_record(gather, gather->kept - 1), record,
-		    RECORD_BYTES) >= 0))
+	    (gather->kept == 0 || memcmp(get_record(gather, gather->kept - 1),
+				      record, RECORD_BYTES) >= 0))
 		return;
 	position = find_position(gather, record);
 	if (!is_full)
@@ -88,6 +87,6 @@
 void
 gather_finish(gather_t *gather, GString *out)
 {
-	g_string_append_len(out, gather->records,
-	    (gssize)gather->kept * RECORD_BYTES);
+	g_string_append_len(
+	    out, gather->records, (gssize)gather->kept * RECORD_BYTES);
 }
--- a/src/http.c
+++ b/src/http.c
@@ -86,16 +86,15 @@
 }
 
 http_state_t
-http_message_feed(http_message_t *message, const char *data, size_t length,
-    size_t *consumed)
+http_message_feed(
+    http_message_t *message, const char *data, size_t length, size_t *consumed)
 {
 	size_t used;
 
 	message->is_begun = message->is_begun || length > 0;
 	message->fed = data;
 	message->fed_end = data + length;
-	used = http_parser_execute(
-	    &message->parser, &callbacks, data, length);
+	used = http_parser_execute(&message->parser, &callbacks, data, length);
 	*consumed = used;
 	if (message->is_complete) {
 		http_parser_pause(&message->parser, 0);
@@ -206,8 +205,7 @@
 static int
 on_target(http_parser *parser, const char *data, size_t length)
 {
-	if (!is_plain(data, length, false) ||
-	    memchr(data, ' ', length) != NULL)
+	if (!is_plain(data, length, false) || memchr(data, ' ', length) != NULL)
 		return -1;
 	g_string_append_len(get_message(parser)->text, data, (gssize)length);
 	return 0;
@@ -263,8 +261,8 @@
 	message->is_value_cut = message->value_end == message->fed_end;
 	if (!message->is_value_open) {
 		close_text(message);
-		g_array_index(message->headers, http_header_t,
-		    message->headers->len - 1)
+		g_array_index(
+		    message->headers, http_header_t, message->headers->len - 1)
 		    .value = (guint)message->text->len;
 		message->is_value_open = true;
 		message->is_value_next = false;
--- a/src/http.h
+++ b/src/http.h
@@ -12,7 +12,7 @@
 
 #include "plantainarch.h"
 
-/* ---- Messages ----------------------------------------------------------- */
+/* ---- Messages ---- */
 
 typedef struct http_header {
 	guint name, value; /* offsets into the text of the message */
@@ -31,7 +31,7 @@
 	GArray *headers; /* http_header_t */
 	GString *body;
 	GString *relayed; /* scratch of the protocol: its head for leafs */
-	guint target;  /* offset of the request target */
+	guint target;	  /* offset of the request target */
 	size_t body_bytes_max, head_bytes_max;
 	bool is_begun; /* a byte of it was seen */
 	bool has_head; /* all headers are in */
@@ -42,7 +42,7 @@
 	bool is_persistent; /* the connection may be used again */
 	bool is_value_open; /* the parser is inside a header value */
 	const char *fed, *fed_end, *value_end; /* find folded values */
-	bool is_value_cut; /* the bytes fed before ended inside a value */
+	bool is_value_cut;  /* the bytes fed before ended inside a value */
 	bool is_value_next; /* the next value byte begins a value */
 } http_message_t;
 
@@ -51,8 +51,8 @@
 void http_message_reset(http_message_t *message); /* for the next message */
 void http_message_end(http_message_t *message);
 /** Consumes bytes up to the end of the message at most. */
-http_state_t http_message_feed(http_message_t *message, const char *data,
-    size_t length, size_t *consumed);
+http_state_t http_message_feed(
+    http_message_t *message, const char *data, size_t length, size_t *consumed);
 /** The peer closed cleanly, which ends a body that has no length. */
 http_state_t http_message_finish(http_message_t *message);
 const char *http_get_header(
@@ -60,11 +60,11 @@
 const char *http_get_method(const http_message_t *message);
 const char *http_get_target(const http_message_t *message);
 /** Appends headers that concern the whole path, without those in `except`. */
-void http_append_end_to_end(GString *out, const http_message_t *message,
-    const char *const *except);
+void http_append_end_to_end(
+    GString *out, const http_message_t *message, const char *const *except);
 const char *http_get_reason(int status); /* "Not Found" */
 
-/* ---- Streams: non-blocking TCP connections on a loop ---------------------- */
+/* ---- Streams: non-blocking TCP connections on a loop ---- */
 
 typedef struct stream stream_t;
 
@@ -81,7 +81,7 @@
 int stream_listen(const char *address, error_info_t *error); /* a descriptor */
 void stream_write(stream_t *stream, const char *data, size_t length);
 int64_t stream_get_rtt_us(const stream_t *stream); /* 0: not known */
-bool stream_is_written(const stream_t *stream); /* nothing waits here */
+bool stream_is_written(const stream_t *stream);	   /* nothing waits here */
 /** Stops reading; bytes that come later wait in the kernel. */
 void stream_set_reading(stream_t *stream, bool is_reading);
 void stream_destroy(stream_t *stream); /* closes; no callback follows */
--- a/src/log.c
+++ b/src/log.c
@@ -26,10 +26,10 @@
 #undef LOG_EVENT
 };
 
-#define BUFFER_BYTES	 262144 /* lines that the reader has not taken yet */
-#define LINES_A_SECOND	 200	/* of all events together */
-#define LINE_BYTES	 1024
-#define MICROSECONDS	 1000000
+#define BUFFER_BYTES   262144 /* lines that the reader has not taken yet */
+#define LINES_A_SECOND 200    /* of all events together */
+#define LINE_BYTES     1024
+#define MICROSECONDS   1000000
 
 /* Lines on their way to a descriptor that must not block the process. */
 static struct {
--- a/src/metrics_list.h
+++ b/src/metrics_list.h
@@ -47,7 +47,8 @@
     "members believed alive, this VM included")
 METRIC(METRIC_TIER_REQUESTS, "tier_requests_total",
     "requests of callers that named a route or none")
-METRIC(METRIC_TIER_SERVED, "tier_served_total", "requests answered with success")
+METRIC(
+    METRIC_TIER_SERVED, "tier_served_total", "requests answered with success")
 METRIC(METRIC_TIER_PARTIAL, "tier_partial_total",
     "gathered answers that leave shards out")
 METRIC(METRIC_TIER_REFUSED, "tier_refused_total",
--- a/src/pages.c
+++ b/src/pages.c
@@ -64,10 +64,14 @@
 void
 pages_destroy(pages_t *pages)
 {
+	page_link_t *link, *next;
+
 	if (pages == NULL)
 		return;
-	while (!LIST_EMPTY(&pages->links))
-		destroy_link(LIST_FIRST(&pages->links));
+	for (link = LIST_FIRST(&pages->links); link != NULL; link = next) {
+		next = LIST_NEXT(link, in_pages);
+		destroy_link(link);
+	}
 	loop_unset_fd(pages->loop, pages->fd);
 	close(pages->fd);
 	g_free(pages);
@@ -86,8 +90,7 @@
 	link->pages = pages;
 	http_message_begin(
 	    &link->message, true, PAGE_HEAD_BYTES, PAGE_BODY_BYTES);
-	link->stream =
-	    stream_adopt(pages->loop, accepted, &stream_hooks, link);
+	link->stream = stream_adopt(pages->loop, accepted, &stream_hooks, link);
 	LIST_INSERT_HEAD(&pages->links, link, in_pages);
 }
 
--- a/src/plantainarch.h
+++ b/src/plantainarch.h
@@ -60,14 +60,14 @@
 void log_write(void *context, log_event_t event,
     const char *text); /* one line; a log_fn_t */
 void log_printf(log_event_t event, const char *format, ...)
-    G_GNUC_PRINTF(2, 3);	/* one formatted line */
+    G_GNUC_PRINTF(2, 3); /* one formatted line */
 void log_fields(log_event_t event, const char *format, ...)
     G_GNUC_PRINTF(2, 3); /* a JSON fragment: "\"id\":\"r1\",..." */
 void log_write_fields(
     void *context, log_event_t event, const char *fields); /* a log_fn_t */
 void log_begin_buffered(int fd); /* log_fields never blocks from here on */
 void log_flush(void);		 /* writes what the descriptor takes */
-void log_print_catalogue(void); /* all events as a Markdown table */
+void log_print_catalogue(void);	 /* all events as a Markdown table */
 
 /* ---- Metrics: counters of this process ----------------------------------- */
 
--- a/src/pool.c
+++ b/src/pool.c
@@ -7,15 +7,15 @@
 
 #include "tier_shell.h"
 
-#define REPLY_HEAD_BYTES   32768
-#define REPLY_BODY_BYTES   8388608
-#define CONNECT_FLOOR_US   300000   /* until an unopened connection fails */
-#define CONNECT_RTTS	   4	    /* or so many round trips */
-#define IDLE_DEFAULT_US	   30000000 /* kept so long without Keep-Alive */
-#define IDLE_MARGIN_US	   700000   /* not reused so close to its end */
-#define SWEEP_US	   50000
-#define PRUNE_US	   500000  /* between looks at surplus connections */
-#define SURPLUS_US	   1500000 /* a second idle one is closed after this */
+#define REPLY_HEAD_BYTES 32768
+#define REPLY_BODY_BYTES 8388608
+#define CONNECT_FLOOR_US 300000	  /* until an unopened connection fails */
+#define CONNECT_RTTS	 4	  /* or so many round trips */
+#define IDLE_DEFAULT_US	 30000000 /* kept so long without Keep-Alive */
+#define IDLE_MARGIN_US	 700000	  /* not reused so close to its end */
+#define SWEEP_US	 50000
+#define PRUNE_US	 500000	 /* between looks at surplus connections */
+#define SURPLUS_US	 1500000 /* a second idle one is closed after this */
 
 typedef struct leaf_pool leaf_pool_t;
 
@@ -28,7 +28,7 @@
 	char id[KEY_BYTES];	 /* of the request in work */
 	int64_t opened_us;	 /* or begun, while it connects */
 	int64_t reuse_until_us, idle_us;
-	bool is_used; /* an answer has come on it */
+	bool is_used;		  /* an answer has come on it */
 	bool is_open, is_spoiled; /* spoiled: closed after this answer */
 } leaf_link_t;
 
@@ -60,8 +60,7 @@
 	handle_closed };
 
 pool_t *
-pool_create(
-    loop_t *loop, const protocol_t *protocol, const pool_hooks_t *hooks)
+pool_create(loop_t *loop, const protocol_t *protocol, const pool_hooks_t *hooks)
 {
 	pool_t *pool = g_new0(pool_t, 1);
 
@@ -97,16 +96,27 @@
 	g_free(owner);
 }
 
+static void
+destroy_links(leaf_pool_t *owner)
+{
+	leaf_link_t *link, *next;
+
+	owner->is_forgotten = true; /* its leaf may be freed already */
+	for (link = LIST_FIRST(&owner->links); link != NULL; link = next) {
+		next = LIST_NEXT(link, in_pool);
+		destroy_link(link);
+	}
+}
+
 void
 pool_destroy(pool_t *pool)
 {
-	leaf_pool_t *owner;
+	leaf_pool_t *owner, *next;
 
 	loop_remove_timer(pool->loop, run_timer, pool);
-	while ((owner = LIST_FIRST(&pool->all)) != NULL) {
-		while (!LIST_EMPTY(&owner->links))
-			destroy_link(LIST_FIRST(&owner->links));
-		LIST_REMOVE(owner, in_all);
+	for (owner = LIST_FIRST(&pool->all); owner != NULL; owner = next) {
+		next = LIST_NEXT(owner, in_all);
+		destroy_links(owner);
 		g_free(owner);
 	}
 	g_queue_clear(&pool->unsent);
@@ -185,8 +195,8 @@
 
 	link->owner = owner;
 	link->opened_us = now_us;
-	link->stream = stream_connect(owner->pool->loop,
-	    owner->leaf->entry.address, &stream_hooks, link);
+	link->stream = stream_connect(
+	    owner->pool->loop, owner->leaf->entry.address, &stream_hooks, link);
 	if (link->stream == NULL) {
 		g_free(link);
 		return NULL;
@@ -219,8 +229,7 @@
 	link->attempt = attempt;
 	attempt->connection = link;
 	g_strlcpy(link->id, attempt->ask->id, sizeof(link->id));
-	link->message.is_without_body =
-	    request->parser.method == HTTP_HEAD;
+	link->message.is_without_body = request->parser.method == HTTP_HEAD;
 	g_string_truncate(pool->scratch, 0);
 	pool->protocol->write_leaf_request(pool->scratch, request, attempt);
 	stream_write(link->stream, pool->scratch->str, pool->scratch->len);
@@ -295,7 +304,7 @@
 
 	if (link->message.parser.status_code < 200)
 		return false;
-	*answer = (leaf_answer_t) { .message = &link->message };
+	*answer = (leaf_answer_t){ .message = &link->message };
 	link->owner->pool->protocol->read_leaf_answer(
 	    &link->message, answer, &id);
 	if (id == NULL || strcmp(id, link->id) == 0)
@@ -338,8 +347,7 @@
 		if (length == 0)
 			return;
 	}
-	link->reuse_until_us =
-	    get_reuse_until(&link->message, clock_get_us());
+	link->reuse_until_us = get_reuse_until(&link->message, clock_get_us());
 	finish_link(link, &answer,
 	    length == 0 && link->message.is_persistent && !link->is_spoiled &&
 		stream_is_written(link->stream));
--- a/src/reach.c
+++ b/src/reach.c
@@ -54,8 +54,7 @@
 }
 
 static double
-get_cost_us(
-    const tier_leaf_t *leaf, const kind_belief_t *kind, int64_t now_us)
+get_cost_us(const tier_leaf_t *leaf, const kind_belief_t *kind, int64_t now_us)
 {
 	static const double distance_cost[] = { 0, REGION_COST_US,
 		REMOTE_COST_US };
--- a/src/source.c
+++ b/src/source.c
@@ -10,20 +10,20 @@
 
 #include "tier_shell.h"
 
-#define ANSWER_HEAD_BYTES  16384
-#define ANSWER_BODY_BYTES  8388608
-#define WATCH_WAIT_MS	   30000   /* the longest that the store allows */
-#define WATCH_SLACK_US	   2000000 /* a watch that is silent longer is dead */
-#define CALL_TIMEOUT_US	   1500000 /* answers take milliseconds */
-#define BACKOFF_FIRST_US   100000
-#define BACKOFF_MOST_US	   800000 /* a regained store is used within 1 s */
-#define VANISH_US	   2500000 /* entries lost in an outage are back by then */
-#define VANISH_PART	   0.4 /* of drain_ms, after a store that was well */
-#define UNWELL_US	   3000000 /* a store is well this long after an outage */
-#define VM_POLL_US	   15000000
-#define VM_POLL_FIRST_US   2500000 /* all VMs start within 0.3 s */
-#define VM_BEAT_US	   20000000
-#define VM_LAPSE_US	   50000000 /* two beats and a poll */
+#define ANSWER_HEAD_BYTES 16384
+#define ANSWER_BODY_BYTES 8388608
+#define WATCH_WAIT_MS	  30000	  /* the longest that the store allows */
+#define WATCH_SLACK_US	  2000000 /* a watch that is silent longer is dead */
+#define CALL_TIMEOUT_US	  1500000 /* answers take milliseconds */
+#define BACKOFF_FIRST_US  100000
+#define BACKOFF_MOST_US	  800000 /* a regained store is used within 1 s */
+#define VANISH_US	  2500000 /* entries lost in an outage are back by then */
+#define VANISH_PART	  0.4	  /* of drain_ms, after a store that was well */
+#define UNWELL_US	  3000000 /* a store is well this long after an outage */
+#define VM_POLL_US	  15000000
+#define VM_POLL_FIRST_US  2500000 /* all VMs start within 0.3 s */
+#define VM_BEAT_US	  20000000
+#define VM_LAPSE_US	  50000000 /* two beats and a poll */
 
 /*
  * A watch ends with the first change, and each call is paid for. The next one
@@ -145,7 +145,7 @@
 	loop_wake(source->loop);
 }
 
-/* ---- What the store says ----------------------------------------------------- */
+/* ---- What the store says ---- */
 
 static void
 take_configuration(void *context, route_table_t *table)
@@ -153,8 +153,7 @@
 	feed_state_t *feed = context;
 	source_t *source = feed->source;
 
-	if (source->table != NULL &&
-	    table->version <= source->table->version) {
+	if (source->table != NULL && table->version <= source->table->version) {
 		if (table->version < source->table->version)
 			log_fields(LOG_TIER_STALE,
 			    "\"version\":%" G_GUINT64_FORMAT
@@ -181,8 +180,7 @@
 	if (record == NULL) {
 		record = g_new0(leaf_record_t, 1);
 		record->entry = *entry;
-		g_hash_table_insert(
-		    source->leafs, record->entry.id, record);
+		g_hash_table_insert(source->leafs, record->entry.id, record);
 	} else {
 		record->entry = *entry;
 		record->vanished_us = 0;
@@ -256,14 +254,15 @@
 	feed_state_t *feed = context;
 
 	log_fields(LOG_TIER_BAD_OBJECT,
-	    "\"feed\":\"%s\",\"name\":\"%s\",\"why\":\"%s\"",
-	    feed_names[which], name, why);
-	if (which == FEED_LEAFS && g_hash_table_remove(feed->source->leafs, name))
+	    "\"feed\":\"%s\",\"name\":\"%s\",\"why\":\"%s\"", feed_names[which],
+	    name, why);
+	if (which == FEED_LEAFS &&
+	    g_hash_table_remove(feed->source->leafs, name))
 		mark_changed(feed->source);
 }
 
-static const feed_sink_t sink_callbacks = { NULL, take_configuration,
-	take_leaf, take_vm, take_removal, reject };
+static const feed_sink_t sink_callbacks = { NULL, take_configuration, take_leaf,
+	take_vm, take_removal, reject };
 
 static void
 vanish_unlisted(feed_state_t *feed)
@@ -303,13 +302,13 @@
 		    before != g_hash_table_size(source->vms))
 			mark_changed(source);
 		source->is_vm_known = true;
-		metric_set(METRIC_TIER_VMS,
-		    (int64_t)g_hash_table_size(source->vms));
+		metric_set(
+		    METRIC_TIER_VMS, (int64_t)g_hash_table_size(source->vms));
 	}
 	mark_changed(source);
 }
 
-/* ---- Calls --------------------------------------------------------------------- */
+/* ---- Calls ---- */
 
 static void
 rest(feed_state_t *feed, int64_t now_us, int64_t delay_us)
@@ -332,8 +331,8 @@
 	    CLAMP(feed->backoff_us * 2, BACKOFF_FIRST_US, BACKOFF_MOST_US);
 	if (!feed->is_lost)
 		log_fields(LOG_TIER_STORE_LOST,
-		    "\"feed\":\"%s\",\"why\":\"%s\",\"revision\":%"
-		    G_GINT64_FORMAT,
+		    "\"feed\":\"%s\",\"why\":\"%s\",\"revision\":"
+		    "%" G_GINT64_FORMAT,
 		    feed_names[feed->feed], why, feed->revision);
 	feed->is_lost = true;
 	feed->lost_us = now_us;
@@ -459,11 +458,11 @@
 
 	switch (feed->feed) {
 	case FEED_CONFIGURATION:
-		return (int64_t)((double)settings->apply_us *
-				 CONFIG_GATHER_PART);
+		return (
+		    int64_t)((double)settings->apply_us * CONFIG_GATHER_PART);
 	case FEED_LEAFS:
-		return (int64_t)((double)settings->drain_us *
-				 LEAFS_GATHER_PART);
+		return (
+		    int64_t)((double)settings->drain_us * LEAFS_GATHER_PART);
 	default:
 		return VM_POLL_US;
 	}
@@ -471,8 +470,8 @@
 
 /* The polled list of VMs changes nothing mostly, and is not logged. */
 static void
-log_read(const feed_state_t *feed, bool is_list, int64_t revision,
-    int64_t now_us)
+log_read(
+    const feed_state_t *feed, bool is_list, int64_t revision, int64_t now_us)
 {
 	if (feed->feed == FEED_VMS)
 		return;
@@ -494,10 +493,9 @@
 	bool is_good;
 
 	sink.context = feed;
-	is_good = (is_list ? protocol->read_list
-			   : protocol->read_events)(feed->feed,
-	    feed->message.body->str, feed->message.body->len, &sink, &page,
-	    &error);
+	is_good = (is_list ? protocol->read_list : protocol->read_events)(
+	    feed->feed, feed->message.body->str, feed->message.body->len, &sink,
+	    &page, &error);
 	if (!is_good) {
 		feed->is_listed = feed->is_listed && is_list;
 		fail_call(feed, error.text);
@@ -599,7 +597,7 @@
 	loop_wake(source->loop);
 }
 
-/* ---- Publishing ------------------------------------------------------------------ */
+/* ---- Publishing ---- */
 
 static void
 remove_vanished(source_t *source, int64_t now_us)
--- a/src/stream.c
+++ b/src/stream.c
@@ -32,7 +32,7 @@
 	int fd;
 	bool is_connecting, is_closed, is_finishing, is_reading;
 	bool is_disowned; /* freed as soon as it is closed */
-	int depth; /* callbacks in progress */
+	int depth;	  /* callbacks in progress */
 	GString *pending;
 	size_t written; /* of pending */
 	stream_hooks_t hooks;
@@ -108,8 +108,7 @@
 }
 
 stream_t *
-stream_adopt(
-    loop_t *loop, int fd, const stream_hooks_t *hooks, void *context)
+stream_adopt(loop_t *loop, int fd, const stream_hooks_t *hooks, void *context)
 {
 	stream_t *stream = create_stream(loop, fd, hooks, context);
 
@@ -310,8 +309,7 @@
 	if (count <= 0)
 		report_close(stream, count == 0);
 	else if (!stream->is_finishing)
-		stream->hooks.received(
-		    stream->context, buffer, (size_t)count);
+		stream->hooks.received(stream->context, buffer, (size_t)count);
 }
 
 static void
--- a/src/tier.c
+++ b/src/tier.c
@@ -13,25 +13,25 @@
 
 #include "tier.h"
 
-#define RETURN_MARGIN_US 8000 /* processing here and on the way back */
-#define CALLER_RTT_US	 2000 /* to a caller, where it is not measured */
-#define HEDGE_AGAIN_US	 15000	/* between looks at a part that can't hedge */
-#define RESTARTS_MOST	 3	/* of a part whose request did not arrive */
-#define LATE_FACTOR	 2	/* objectives to wait for a late whole answer */
-#define ABANDON_US	 250000 /* a leaf may finish what nobody waits for */
-#define SWEEP_US	 50000	/* between looks at abandoned attempts */
-#define RETRY_AFTER_US	 300000 /* without a better estimate */
+#define RETURN_MARGIN_US     8000  /* processing here and on the way back */
+#define CALLER_RTT_US	     2000  /* to a caller, where it is not measured */
+#define HEDGE_AGAIN_US	     15000 /* between looks at a part that can't hedge */
+#define RESTARTS_MOST	     3	   /* of a part whose request did not arrive */
+#define LATE_FACTOR	     2 /* objectives to wait for a late whole answer */
+#define ABANDON_US	     250000 /* a leaf may finish what nobody waits for */
+#define SWEEP_US	     50000  /* between looks at abandoned attempts */
+#define RETRY_AFTER_US	     300000 /* without a better estimate */
 #define RETRY_AFTER_LEAST_US 50000
-#define LOWER_TURN	 4	/* each such dispatch goes to a lower rank */
-#define CONNECTION_SLACK 2	/* of a leaf's limit, for VMs that join */
-#define LATENCY_WEIGHT	 0.1
-#define LATENCY_CLIP_US	 250000.0 /* a pause more or less */
-#define LEAF_LINES_MOST	 8	  /* of one directory; the rest is counted */
-#define SETTLE_US	 10000000 /* leafs drop dead connections in this */
-#define LEAF_LIMIT_MOST	 32	/* connections of one VM to one leaf */
-#define RTT_SAME_US	 400	/* until measured, by distance */
-#define RTT_REGION_US	 3500
-#define RTT_REMOTE_US	 25000
+#define LOWER_TURN	     4 /* each such dispatch goes to a lower rank */
+#define CONNECTION_SLACK     2 /* of a leaf's limit, for VMs that join */
+#define LATENCY_WEIGHT	     0.1
+#define LATENCY_CLIP_US	     250000.0 /* a pause more or less */
+#define LEAF_LINES_MOST	     8 /* of one directory; the rest is counted */
+#define SETTLE_US	     10000000 /* leafs drop dead connections in this */
+#define LEAF_LIMIT_MOST	     32	      /* connections of one VM to one leaf */
+#define RTT_SAME_US	     400      /* until measured, by distance */
+#define RTT_REGION_US	     3500
+#define RTT_REMOTE_US	     25000
 
 typedef enum part_state {
 	PART_WAITING, /* for a free connection */
@@ -74,7 +74,7 @@
 	int rank;
 	int part_count, done_count, failed_count;
 	tier_part_t *parts;
-	bool may_have_run;
+	bool may_have_run, is_ended;
 	int extra_count;
 	int64_t due_us, stop_us, late_us, deadline_us;
 	gather_t *gather;
@@ -92,24 +92,25 @@
 	GHashTable *leafs;    /* id -> tier_leaf_t */
 	GHashTable *routes;   /* name -> route_state_t */
 	GHashTable *rtts;     /* zone -> int64_t */
-	TAILQ_HEAD(, tier_request) requests;
+	TAILQ_HEAD(, tier_request) requests, ended;
 	TAILQ_HEAD(, tier_attempt) attempts;
 	int request_count, waiting_count;
 	int64_t sweep_us, stopping_us;
 	int64_t due_us; /* no request is due before */
 	int64_t begun_us;
 	int changed_leafs; /* by the directory that is being applied */
-	bool is_settling; /* the VM's connections of before may linger */
+	bool is_settling;  /* the VM's connections of before may linger */
 };
 
 static void settle(tier_request_t *request, int64_t now_us);
 static void start_part(tier_part_t *part, int64_t now_us, bool is_extra);
 static void dispatch(tier_service_t *service, tier_t *tier, int64_t now_us);
 static void end_request(tier_request_t *request);
+static void free_ended(tier_t *tier);
 static void update_limits(tier_t *tier);
 static void unqueue_part(tier_part_t *part);
 
-/* ---- Setting up ----------------------------------------------------------- */
+/* ---- Setting up ---- */
 
 static void
 destroy_route_state(gpointer data)
@@ -136,12 +137,13 @@
 	    g_str_hash, g_str_equal, g_free, destroy_route_state);
 	tier->rtts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	tier->limits = (caller_limits_t) { .head_bytes = 16384,
+	tier->limits = (caller_limits_t){ .head_bytes = 16384,
 		.body_bytes = 262144,
 		.read_us = 3000000,
 		.idle_us = 15000000 };
 	tier->is_settling = true;
 	TAILQ_INIT(&tier->requests);
+	TAILQ_INIT(&tier->ended);
 	TAILQ_INIT(&tier->attempts);
 	return tier;
 }
@@ -149,15 +151,16 @@
 void
 tier_destroy(tier_t *tier)
 {
+	tier_attempt_t *attempt, *next;
 	GHashTableIter iter;
 	gpointer value;
 
 	while (!TAILQ_EMPTY(&tier->requests))
 		end_request(TAILQ_FIRST(&tier->requests));
-	while (!TAILQ_EMPTY(&tier->attempts)) {
-		tier_attempt_t *attempt = TAILQ_FIRST(&tier->attempts);
-
-		TAILQ_REMOVE(&tier->attempts, attempt, in_flight);
+	free_ended(tier);
+	for (attempt = TAILQ_FIRST(&tier->attempts); attempt != NULL;
+	     attempt = next) {
+		next = TAILQ_NEXT(attempt, in_flight);
 		g_free(attempt);
 	}
 	g_hash_table_iter_init(&iter, tier->leafs);
@@ -199,15 +202,14 @@
 	tier_request_t *request;
 
 	tier->stopping_us = until_us;
-	TAILQ_FOREACH(request, &tier->requests, in_tier)
-	{
+	TAILQ_FOREACH (request, &tier->requests, in_tier) {
 		request->deadline_us = MIN(request->deadline_us, until_us);
 		request->due_us = MIN(request->due_us, until_us);
 	}
 	tier->due_us = 0;
 }
 
-/* ---- Directory ------------------------------------------------------------ */
+/* ---- Directory ---- */
 
 static tier_service_t *
 find_service(tier_t *tier, const char *name)
@@ -261,9 +263,8 @@
 	if (rtt_us < *leaf->rtt_us)
 		*leaf->rtt_us = MAX(rtt_us, 50);
 	else
-		*leaf->rtt_us += (MIN(rtt_us, 2 * *leaf->rtt_us) -
-				     *leaf->rtt_us) /
-				 20;
+		*leaf->rtt_us +=
+		    (MIN(rtt_us, 2 * *leaf->rtt_us) - *leaf->rtt_us) / 20;
 }
 
 static void
@@ -385,8 +386,7 @@
 }
 
 void
-tier_set_directory(
-    tier_t *tier, int64_t now_us, const directory_t *directory)
+tier_set_directory(tier_t *tier, int64_t now_us, const directory_t *directory)
 {
 	GHashTable *named = g_hash_table_new(g_str_hash, g_str_equal);
 	GPtrArray *gone = g_ptr_array_new();
@@ -433,8 +433,8 @@
 
 	LIST_FOREACH(leaf, &service->leafs, in_service)
 	{
-		uint64_t hash = hash_pair(
-		    tier->options.seed, hash_text(leaf->entry.id));
+		uint64_t hash =
+		    hash_pair(tier->options.seed, hash_text(leaf->entry.id));
 
 		leaf->is_preferred = false;
 		if (leaf->distance != 2 || leaf->entry.is_draining ||
@@ -468,7 +468,7 @@
 		prefer_remote(tier, value);
 }
 
-/* ---- Answers -------------------------------------------------------------- */
+/* ---- Answers ---- */
 
 /* One line for each request that did not simply succeed in time. */
 static void
@@ -494,8 +494,8 @@
 	    ",\"parts\":%d,\"done\":%d,\"failed\":%d,\"extra\":%d",
 	    request->ask.id, request->route->name, request->table->version,
 	    outcome, took_us, request->ask.patience_us, request->ask.rtt_us,
-	    request->part_count,
-	    request->done_count, request->failed_count, request->extra_count);
+	    request->part_count, request->done_count, request->failed_count,
+	    request->extra_count);
 	tier->shell.log(tier->shell.context, event, text);
 }
 
@@ -618,10 +618,8 @@
 {
 	tier_attempt_t *attempt;
 
-	TAILQ_FOREACH(attempt, &request->tier->attempts, in_flight)
-	{
-		if (attempt->part != NULL &&
-		    attempt->part->request == request)
+	TAILQ_FOREACH (attempt, &request->tier->attempts, in_flight) {
+		if (attempt->part != NULL && attempt->part->request == request)
 			attempt->part = NULL;
 	}
 }
@@ -636,58 +634,67 @@
 		unqueue_part(&request->parts[i]);
 	}
 	TAILQ_REMOVE(&tier->requests, request, in_tier);
+	TAILQ_INSERT_TAIL(&tier->ended, request, in_tier);
 	tier->request_count--;
-	gather_destroy(request->gather);
-	if (request->stamps != NULL)
-		g_ptr_array_unref(request->stamps);
-	route_table_release(request->table);
-	g_free(request->parts);
-	g_free(request);
+	request->is_ended = true;
+}
+
+/* Requests end inside of loops over them, and are freed outside. */
+static void
+free_ended(tier_t *tier)
+{
+	tier_request_t *request, *next;
+
+	for (request = TAILQ_FIRST(&tier->ended); request != NULL;
+	     request = next) {
+		next = TAILQ_NEXT(request, in_tier);
+		gather_destroy(request->gather);
+		if (request->stamps != NULL)
+			g_ptr_array_unref(request->stamps);
+		route_table_release(request->table);
+		g_free(request->parts);
+		g_free(request);
+	}
+	TAILQ_INIT(&tier->ended);
 }
 
 /*
  * Ends the request if nothing better can come: all parts are in, or those that
  * are still open can't make it a success.
- * Returns true if the request has ended.
  */
-static bool
+static void
 settle_gather(tier_request_t *request, int64_t now_us)
 {
-	int open = request->part_count - request->done_count -
-		   request->failed_count;
-	double best = (double)(request->done_count + open) /
-		      request->part_count;
+	int open =
+	    request->part_count - request->done_count - request->failed_count;
+	double best =
+	    (double)(request->done_count + open) / request->part_count;
 
-	if (open == 0 && is_enough(request)) {
+	if (open == 0 && is_enough(request))
 		finish_gather(request, now_us);
-		return true;
-	}
-	if (open == 0 || best < request->route->least_share) {
+	else if (open == 0 || best < request->route->least_share)
 		finish_unserved(request, now_us, false);
-		return true;
-	}
-	if (now_us >= request->stop_us && is_enough(request) &&
-	    now_us <= request->stop_us + RETURN_MARGIN_US) {
+	else if (now_us >= request->stop_us && is_enough(request) &&
+		 now_us <= request->stop_us + RETURN_MARGIN_US)
 		finish_gather(request, now_us);
-		return true;
-	}
-	return false;
 }
 
 static void
 settle(tier_request_t *request, int64_t now_us)
 {
+	if (request->is_ended)
+		return;
 	if (request->route->is_gather)
 		settle_gather(request, now_us);
 	else if (request->failed_count > 0)
 		finish_unserved(request, now_us, false);
 }
 
-/* ---- Attempts ------------------------------------------------------------- */
+/* ---- Attempts ---- */
 
 static void
-send_attempt(tier_part_t *part, tier_leaf_t *leaf, int64_t now_us,
-    bool is_extra)
+send_attempt(
+    tier_part_t *part, tier_leaf_t *leaf, int64_t now_us, bool is_extra)
 {
 	tier_request_t *request = part->request;
 	tier_t *tier = request->tier;
@@ -805,7 +812,8 @@
 	int64_t expected_us;
 
 	switch (reach_choose(part->service, &request->state->kind,
-	    request->rank, &part->tried, now_us, request->tier->random, &leaf, &expected_us)) {
+	    request->rank, &part->tried, now_us, request->tier->random, &leaf,
+	    &expected_us)) {
 	case REACH_FOUND:
 		unqueue_part(part);
 		send_attempt(part, leaf, now_us, is_extra);
@@ -828,8 +836,7 @@
 	if (leaf->belief.is_stalled)
 		return;
 	belief_note_stall(&leaf->belief, now_us);
-	TAILQ_FOREACH(attempt, &tier->attempts, in_flight)
-	{
+	TAILQ_FOREACH (attempt, &tier->attempts, in_flight) {
 		tier_part_t *part = attempt->part;
 
 		if (attempt->leaf != leaf || part == NULL ||
@@ -846,9 +853,9 @@
 {
 	tier_attempt_t *attempt;
 
-	TAILQ_FOREACH(attempt, &tier->attempts, in_flight)
-	if (attempt->part == part)
-		return attempt;
+	TAILQ_FOREACH (attempt, &tier->attempts, in_flight)
+		if (attempt->part == part)
+			return attempt;
 	return NULL;
 }
 
@@ -867,7 +874,7 @@
 		part->hedge_us = INT64_MAX;
 }
 
-/* ---- Requests ------------------------------------------------------------- */
+/* ---- Requests ---- */
 
 static route_state_t *
 find_route_state(tier_t *tier, const route_t *route)
@@ -877,8 +884,7 @@
 	if (state == NULL) {
 		state = g_new0(route_state_t, 1);
 		kind_belief_begin(&state->kind);
-		g_hash_table_insert(
-		    tier->routes, g_strdup(route->name), state);
+		g_hash_table_insert(tier->routes, g_strdup(route->name), state);
 	}
 	if (state->credit_count != route->target_count) {
 		g_free(state->credits);
@@ -947,8 +953,8 @@
 	if (patience_us > 0) {
 		spent_us = get_spent_us(request->state, patience_us);
 		request->deadline_us = MIN(request->deadline_us,
-		    arrived_us + MAX(patience_us - RETURN_MARGIN_US,
-				     patience_us / 2));
+		    arrived_us +
+			MAX(patience_us - RETURN_MARGIN_US, patience_us / 2));
 	}
 	if (request->tier->stopping_us > 0)
 		request->deadline_us =
@@ -1039,6 +1045,7 @@
 	const route_t *route;
 	tier_request_t *request;
 
+	free_ended(tier);
 	metric_add(METRIC_TIER_REQUESTS, 1);
 	if (tier->table == NULL) {
 		answer_own(tier, caller, 503, RETRY_AFTER_US,
@@ -1056,14 +1063,9 @@
 	/* Parts that fail at once must not end the request in this loop. */
 	for (int i = 0; i < request->part_count; i++)
 		start_part(&request->parts[i], now_us, false);
-	if (request->failed_count > 0) {
-		int before = tier->request_count;
-
+	if (request->failed_count > 0)
 		settle(request, now_us);
-		if (tier->request_count < before)
-			return NULL;
-	}
-	return request;
+	return request->is_ended ? NULL : request;
 }
 
 void
@@ -1072,14 +1074,11 @@
 	tier_attempt_t *attempt;
 
 	log_end(request, now_us, "caller gone");
-	TAILQ_FOREACH(attempt, &tier->attempts, in_flight)
-	{
-		if (attempt->part == NULL ||
-		    attempt->part->request != request)
+	TAILQ_FOREACH (attempt, &tier->attempts, in_flight) {
+		if (attempt->part == NULL || attempt->part->request != request)
 			continue;
-		attempt->close_us = request->route->is_gather
-					? now_us + ABANDON_US
-					: now_us;
+		attempt->close_us =
+		    request->route->is_gather ? now_us + ABANDON_US : now_us;
 	}
 	tier->sweep_us = 0;
 	end_request(request);
@@ -1092,8 +1091,7 @@
 
 	if (service->latency_us == 0)
 		service->latency_us = latency;
-	service->latency_us +=
-	    LATENCY_WEIGHT * (latency - service->latency_us);
+	service->latency_us += LATENCY_WEIGHT * (latency - service->latency_us);
 }
 
 static void
@@ -1194,7 +1192,8 @@
 		return; /* the other attempt may still answer */
 	if (request->route->may_repeat || !ran) {
 		if (is_free_retry(answer->outcome)) {
-			/* Never arrived: neither an attempt nor an extra one. */
+			/* Never arrived: neither an attempt nor an extra one.
+			 */
 			if (restart_part(part, now_us))
 				return;
 		} else {
@@ -1237,8 +1236,8 @@
 	tier_leaf_t *leaf = attempt->leaf;
 	tier_part_t *part = attempt->part;
 	tier_service_t *service = leaf->service;
-	bool is_final = answer->outcome == OUTCOME_LEAF_FAILED &&
-			answer->status < 500;
+	bool is_final =
+	    answer->outcome == OUTCOME_LEAF_FAILED && answer->status < 500;
 
 	TAILQ_REMOVE(&tier->attempts, attempt, in_flight);
 	leaf->in_flight--;
@@ -1297,7 +1296,7 @@
 	}
 }
 
-/* ---- Time ----------------------------------------------------------------- */
+/* ---- Time ---- */
 
 /* What is late already waits behind all that can still be in time. */
 static void
@@ -1392,6 +1391,7 @@
 	tier_request_t *request, *next;
 	int64_t due_us = INT64_MAX;
 
+	free_ended(tier);
 	if (tier->begun_us == 0)
 		tier->begun_us = now_us;
 	if (tier->is_settling && now_us - tier->begun_us > SETTLE_US) {
@@ -1415,8 +1415,8 @@
 			if (request->due_us <= now_us)
 				run_due(request, now_us);
 		}
-		TAILQ_FOREACH(request, &tier->requests, in_tier)
-		due_us = MIN(due_us, request->due_us);
+		TAILQ_FOREACH (request, &tier->requests, in_tier)
+			due_us = MIN(due_us, request->due_us);
 		tier->due_us = due_us;
 	}
 	if (!TAILQ_EMPTY(&tier->attempts) || tier->waiting_count > 0)
--- a/src/tier.h
+++ b/src/tier.h
@@ -20,7 +20,7 @@
 #define TIER_RANKS     4  /* 0 is the most urgent; lower ones share the last */
 #define ATTEMPTS_LIMIT 4  /* leafs that one part may be sent to at most */
 
-/* ---- Directory: what the platform says; immutable, reference counted ------ */
+/* ---- Directory: what the platform says; immutable, reference counted ---- */
 
 typedef struct route_target {
 	char *service;
@@ -48,7 +48,8 @@
 
 typedef struct caller_limits {
 	size_t head_bytes, body_bytes;
-	int64_t read_us, idle_us; /* for one request's bytes; between requests */
+	int64_t read_us,
+	    idle_us; /* for one request's bytes; between requests */
 } caller_limits_t;
 
 /** One version of the configuration. */
@@ -91,7 +92,7 @@
     route_table_t *table, int vm_count); /* takes a reference of its own */
 void directory_destroy(directory_t *directory);
 
-/* ---- Belief: what is known of one leaf and one kind of request ------------ */
+/* ---- Belief: what is known of one leaf and one kind of request ---- */
 
 typedef struct tier_leaf tier_leaf_t;
 typedef struct tier_service tier_service_t;
@@ -112,9 +113,9 @@
 
 /** What requests of one route have shown, over all leafs. */
 typedef struct kind_belief {
-	double work_us; /* mean time at a leaf, without the network */
+	double work_us;	     /* mean time at a leaf, without the network */
 	double idle_work_us; /* low quantile of it: a leaf without a queue */
-	double tail;	/* quantile of work in multiples of its expectation */
+	double tail; /* quantile of work in multiples of its expectation */
 	int64_t patience_us; /* longest time that a caller said it would wait */
 	int64_t samples;
 } kind_belief_t;
@@ -129,7 +130,7 @@
 	int64_t down_until_us; /* not used before, after hard failures */
 	int64_t backoff_us;
 	int64_t cold_until_us;
-	int64_t answered_us; /* last sign of life */
+	int64_t answered_us;	  /* last sign of life */
 	int64_t crowded_until_us; /* opens no further connection before */
 } leaf_belief_t;
 
@@ -145,7 +146,7 @@
     leaf_belief_t *leaf, int64_t now_us, attempt_outcome_t outcome);
 void belief_note_stall(leaf_belief_t *leaf, int64_t now_us);
 
-/* ---- Budget: extra requests to one service in a sliding window ------------ */
+/* ---- Budget: extra requests to one service in a sliding window ---- */
 
 #define BUDGET_STEPS 20 /* parts of the window */
 
@@ -160,7 +161,7 @@
 bool budget_take(budget_t *budget, int64_t now_us, double ratio,
     double slack); /* false: an extra request would exceed it */
 
-/* ---- Gather: the greatest records of many parts --------------------------- */
+/* ---- Gather: the greatest records of many parts ---- */
 
 typedef struct gather gather_t;
 
@@ -170,7 +171,7 @@
 void gather_finish(
     gather_t *gather, GString *out); /* greatest first; once only */
 
-/* ---- Tier: the requests of one traffic thread ------------------------------ */
+/* ---- Tier: the requests of one traffic thread ---- */
 
 typedef struct tier tier_t;
 typedef struct tier_request tier_request_t;
@@ -191,7 +192,7 @@
 	const char *id, *host, *target;
 	int64_t patience_us; /* how long the caller waits; 0: not told */
 	int64_t arrived_us;
-	int64_t rtt_us; /* to the caller; 0: not known */
+	int64_t rtt_us;		   /* to the caller; 0: not known */
 	bool is_on_new_connection; /* the caller has waited for it too */
 	bool has_id;
 } tier_ask_t;
@@ -205,9 +206,9 @@
 typedef struct tier_answer {
 	answer_type_t type;
 	int status;
-	int64_t retry_after_us; /* ANSWER_OWN: 0 if none */
-	const char *reason;	/* ANSWER_OWN: what happened, for the body */
-	void *leaf_answer;	/* ANSWER_LEAF: what tier_handle_answer got */
+	int64_t retry_after_us;	 /* ANSWER_OWN: 0 if none */
+	const char *reason;	 /* ANSWER_OWN: what happened, for the body */
+	void *leaf_answer;	 /* ANSWER_LEAF: what tier_handle_answer got */
 	const GPtrArray *stamps; /* ANSWER_GATHER: char *, of the parts */
 	int missing;		 /* ANSWER_GATHER: shards that are left out */
 	const GString *records;
@@ -250,8 +251,8 @@
 	int in_flight;
 	int open_count;	   /* connections, idle ones included */
 	bool is_preferred; /* of the leafs in other regions */
-	bool is_gone;	  /* freed when nothing is in flight */
-	bool is_moved;	  /* another leaf answers at its address */
+	bool is_gone;	   /* freed when nothing is in flight */
+	bool is_moved;	   /* another leaf answers at its address */
 	void *connections; /* of the shell */
 };
 
@@ -264,7 +265,7 @@
 	TAILQ_HEAD(, tier_part) waiting[TIER_RANKS];
 	int waiting_count, waiting_by_rank[TIER_RANKS];
 	double latency_us; /* mean of its answers, all kinds */
-	int turns; /* dispatches, for the share of lower ranks */
+	int turns;	   /* dispatches, for the share of lower ranks */
 };
 
 /** One try of a part at one leaf. */
@@ -295,13 +296,13 @@
 void tier_handle_answer(tier_t *tier, int64_t now_us, tier_attempt_t *attempt,
     const leaf_answer_t *answer); /* ends the attempt */
 void tier_handle_rtt(
-    tier_leaf_t *leaf, int64_t rtt_us); /* of a new connection */
+    tier_leaf_t *leaf, int64_t rtt_us);		 /* of a new connection */
 int64_t tier_tick(tier_t *tier, int64_t now_us); /* returns the next time */
 int tier_count_requests(const tier_t *tier);
 void tier_set_stopping(
     tier_t *tier, int64_t until_us); /* all requests end by then */
 
-/* ---- Reach: which leaf ------------------------------------------------------ */
+/* ---- Reach: which leaf ---- */
 
 /** Leafs that must not be chosen. */
 typedef struct reach_exclude {
@@ -316,8 +317,8 @@
 } reach_result_t;
 
 reach_result_t reach_choose(const tier_service_t *service,
-    const kind_belief_t *kind, int rank, const reach_exclude_t *exclude, int64_t now_us,
-    gsl_rng *random, tier_leaf_t **leaf, int64_t *expected_us);
+    const kind_belief_t *kind, int rank, const reach_exclude_t *exclude,
+    int64_t now_us, gsl_rng *random, tier_leaf_t **leaf, int64_t *expected_us);
 
 /** How long a part of this rank would wait here for a free connection. */
 int64_t reach_get_wait_us(
--- a/src/tier_process.c
+++ b/src/tier_process.c
@@ -18,14 +18,14 @@
 #include "command.h"
 #include "tier_shell.h"
 
-#define SETTINGS_POLL_US   1000000 /* the file may change without a signal */
-#define LOG_FLUSH_US	   100000
-#define FREEZE_US	   1000000 /* a wait that overran so far is logged */
-#define STOP_IDLE_PART	   0.55 /* of the stop time: idle links are closed */
-#define STOP_LEAST_PART	   0.70 /* the balancer has taken the VM out */
-#define STOP_ANSWER_US	   1000000 /* before the kill: all is answered */
-#define STOP_MARGIN_US	   500000  /* before the kill: the process ends */
-#define STREAM_LINGER_US   150000  /* for the last answers to be written */
+#define SETTINGS_POLL_US 1000000 /* the file may change without a signal */
+#define LOG_FLUSH_US	 100000
+#define FREEZE_US	 1000000 /* a wait that overran so far is logged */
+#define STOP_IDLE_PART	 0.55	 /* of the stop time: idle links are closed */
+#define STOP_LEAST_PART	 0.70	 /* the balancer has taken the VM out */
+#define STOP_ANSWER_US	 1000000 /* before the kill: all is answered */
+#define STOP_MARGIN_US	 500000	 /* before the kill: the process ends */
+#define STREAM_LINGER_US 150000	 /* for the last answers to be written */
 
 typedef struct traffic {
 	loop_t *loop;
@@ -58,7 +58,7 @@
 static int signal_fd = -1;
 static volatile sig_atomic_t is_stop_asked, is_reload_asked;
 
-/* ---- Traffic thread -------------------------------------------------------- */
+/* ---- Traffic thread ---- */
 
 static void
 shell_send(void *context, tier_attempt_t *attempt)
@@ -128,7 +128,8 @@
 run_stop(traffic_t *traffic, int64_t now_us, int64_t begin_us)
 {
 	int64_t total_us = traffic->settings->stop_us;
-	int64_t idle_us = begin_us + (int64_t)((double)total_us * STOP_IDLE_PART);
+	int64_t idle_us =
+	    begin_us + (int64_t)((double)total_us * STOP_IDLE_PART);
 	int64_t least_us =
 	    begin_us + (int64_t)((double)total_us * STOP_LEAST_PART);
 	int64_t last_us = begin_us + total_us - STOP_MARGIN_US;
@@ -221,7 +222,7 @@
 	loop_destroy(traffic->loop);
 }
 
-/* ---- Control thread --------------------------------------------------------- */
+/* ---- Control thread ---- */
 
 static void
 handle_directory_change(void *context, directory_t *directory)
@@ -281,8 +282,7 @@
 		return false;
 	}
 	problem_list_begin(&problems);
-	is_good =
-	    tier_settings_parse(settings, path, text, length, &problems);
+	is_good = tier_settings_parse(settings, path, text, length, &problems);
 	for (guint i = 0; i < problems.texts->len; i++)
 		fprintf(stderr, "plantainarch tier: %s\n",
 		    (char *)g_ptr_array_index(problems.texts, i));
@@ -326,9 +326,8 @@
 	process->settings_due_us = now_us + SETTINGS_POLL_US;
 	if (stat(process->settings_path, &status) != 0)
 		return;
-	if (!is_reload_asked &&
-	    memcmp(&status.st_mtim, &process->settings_time,
-		sizeof(status.st_mtim)) == 0)
+	if (!is_reload_asked && memcmp(&status.st_mtim, &process->settings_time,
+				    sizeof(status.st_mtim)) == 0)
 		return;
 	is_reload_asked = 0;
 	reload(process);
@@ -424,8 +423,8 @@
 	const tier_settings_t *settings = &process->settings;
 	source_hooks_t hooks = { process, handle_directory_change };
 
-	process->ready = pages_create(process->loop, settings->ready,
-	    answer_ready, process, error);
+	process->ready = pages_create(
+	    process->loop, settings->ready, answer_ready, process, error);
 	if (process->ready == NULL)
 		return false;
 	if (settings->metrics[0] != '\0') {
@@ -434,8 +433,8 @@
 		if (process->metrics == NULL)
 			return false;
 	}
-	process->source = source_create(process->loop,
-	    process->traffic.protocol, settings, &hooks);
+	process->source = source_create(
+	    process->loop, process->traffic.protocol, settings, &hooks);
 	loop_add_timer(process->loop, run_control_timer, process);
 	return true;
 }
@@ -465,8 +464,8 @@
 	loop_run(process->loop);
 	pthread_join(thread, NULL);
 	unanswered = entrance_count_busy(process->traffic.entrance);
-	log_fields(LOG_TIER_STOPPED, "\"unanswered\":%" G_GINT64_FORMAT,
-	    unanswered);
+	log_fields(
+	    LOG_TIER_STOPPED, "\"unanswered\":%" G_GINT64_FORMAT, unanswered);
 	log_flush();
 	end_traffic(&process->traffic);
 	source_destroy(process->source);
--- a/src/tier_settings.c
+++ b/src/tier_settings.c
@@ -17,9 +17,9 @@
 	const char *remedy;
 } text_key_t;
 
-#define TEXT_KEY(field, needed, help)                                    \
-	{                                                                \
-		#field, offsetof(tier_settings_t, field),                \
+#define TEXT_KEY(field, needed, help)                                      \
+	{                                                                  \
+#field, offsetof(tier_settings_t, field),                  \
 		    sizeof(((tier_settings_t *)NULL)->field), needed, help \
 	}
 
@@ -73,8 +73,8 @@
 }
 
 static void
-read_milliseconds(reading_t *reading, const char *key,
-    const yaml_node_t *value, int64_t *target_us)
+read_milliseconds(reading_t *reading, const char *key, const yaml_node_t *value,
+    int64_t *target_us)
 {
 	double milliseconds;
 
@@ -98,8 +98,7 @@
 		return;
 	}
 	if (strcmp(key, "zones") == 0)
-		document_read_pairs(
-		    reading, value, key, read_region, settings);
+		document_read_pairs(reading, value, key, read_region, settings);
 	else if (strcmp(key, "retry_ratio") == 0)
 		read_real(reading, key, value, &settings->retry_ratio);
 	else if (strcmp(key, "retry_slack") == 0)
--- a/src/tier_shell.h
+++ b/src/tier_shell.h
@@ -9,7 +9,7 @@
 #include "http.h"
 #include "tier.h"
 
-/* ---- Protocol: one platform's names and formats, a plug-in ----------------- */
+/* ---- Protocol: one platform's names and formats, a plug-in ---- */
 
 /** Kinds of objects that the directory follows. */
 typedef enum feed {
@@ -66,7 +66,7 @@
 
 const protocol_t *protocol_find(const char *name); /* NULL: not built in */
 
-/* ---- Settings of one VM's tier --------------------------------------------- */
+/* ---- Settings of one VM's tier ---- */
 
 typedef struct tier_settings {
 	char id[NAME_BYTES], zone[NAME_BYTES], region[NAME_BYTES];
@@ -78,9 +78,9 @@
 	char log_level[NAME_BYTES];
 	double retry_ratio, retry_slack;
 	int64_t retry_window_us;
-	int64_t drain_us; /* a draining leaf gets nothing later than this */
-	int64_t apply_us; /* a configuration is in force after this */
-	int64_t stop_us; /* from SIGTERM until the process is killed */
+	int64_t drain_us;    /* a draining leaf gets nothing later than this */
+	int64_t apply_us;    /* a configuration is in force after this */
+	int64_t stop_us;     /* from SIGTERM until the process is killed */
 	GHashTable *regions; /* zone -> region */
 } tier_settings_t;
 
@@ -88,7 +88,7 @@
     const char *text, size_t length, problem_list_t *problems);
 void tier_settings_clear(tier_settings_t *settings);
 
-/* ---- Pool: connections to leafs --------------------------------------------- */
+/* ---- Pool: connections to leafs ---- */
 
 typedef struct pool pool_t;
 
@@ -107,7 +107,7 @@
 void pool_cancel(pool_t *pool, tier_attempt_t *attempt);
 void pool_forget(pool_t *pool, tier_leaf_t *leaf);
 
-/* ---- Entrance: callers' connections ------------------------------------------ */
+/* ---- Entrance: callers' connections ---- */
 
 typedef struct entrance entrance_t;
 
@@ -120,7 +120,7 @@
 const http_message_t *entrance_get_request(void *caller);
 int entrance_count_busy(const entrance_t *entrance);
 
-/* ---- Pages: a small HTTP server for readiness and metrics --------------------- */
+/* ---- Pages: a small HTTP server for readiness and metrics ---- */
 
 typedef struct pages pages_t;
 /** Returns the body, freed with g_free; NULL is an empty one. */
@@ -130,7 +130,7 @@
     void *context, error_info_t *error);
 void pages_destroy(pages_t *pages);
 
-/* ---- Source: follows the platform's store, on the control thread --------------- */
+/* ---- Source: follows the platform's store, on the control thread ---- */
 
 typedef struct source source_t;
 
@@ -145,7 +145,7 @@
 void source_destroy(source_t *source);
 void source_leave(source_t *source); /* takes this VM off the list */
 
-/* ---- Process -------------------------------------------------------------------- */
+/* ---- Process ---- */
 
 int tier_run(const char *settings_path); /* returns the exit code */
 
--- a/stand-ins/caller.c
+++ b/stand-ins/caller.c
@@ -67,8 +67,8 @@
 		if (g_ascii_strcasecmp(message->text->str + header->name,
 			"Plantainarch-Part-Stamps") != 0)
 			continue;
-		stamps = g_strsplit(
-		    message->text->str + header->value, ", ", -1);
+		stamps =
+		    g_strsplit(message->text->str + header->value, ", ", -1);
 		for (int j = 0; stamps[j] != NULL; j++) {
 			char **words = g_strsplit(stamps[j], ".", 3);
 
@@ -213,8 +213,8 @@
 	if (link == NULL)
 		return;
 	if (link->stream == NULL)
-		link->stream = stream_connect(caller->loop,
-		    caller->targets[target], &link_hooks, link);
+		link->stream = stream_connect(
+		    caller->loop, caller->targets[target], &link_hooks, link);
 	if (link->stream == NULL)
 		return;
 	snprintf(link->id, sizeof(link->id), "c%d-%d", caller->sent++,
@@ -262,8 +262,8 @@
 int
 main(int argc, char **argv)
 {
-	struct arg_str *targets = arg_str1(
-	    NULL, "targets", "A,B", "addresses of the tier's VMs");
+	struct arg_str *targets =
+	    arg_str1(NULL, "targets", "A,B", "addresses of the tier's VMs");
 	struct arg_str *path = arg_str0(NULL, "path", "PATH", "(/list/2f)");
 	struct arg_int *shards = arg_int0(
 	    NULL, "shards", "N", "of a gathered answer; 0: forwarded (6)");
@@ -293,9 +293,9 @@
 	caller.links = g_ptr_array_new();
 	caller.random = gsl_rng_alloc(gsl_rng_taus2);
 	caller.next_us = clock_get_us();
-	caller.end_us = caller.next_us +
-			(int64_t)((seconds->count > 0 ? seconds->dval[0] : 3) *
-				  1e6);
+	caller.end_us =
+	    caller.next_us +
+	    (int64_t)((seconds->count > 0 ? seconds->dval[0] : 3) * 1e6);
 	loop_add_timer(caller.loop, run_timer, &caller);
 	loop_run(caller.loop);
 	printf("sent %d whole %d partial %d refused %d failed %d wrong %d "
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -21,10 +21,10 @@
 
 #include "tier_shell.h"
 
-#define HEAD_BYTES   16384
-#define BODY_BYTES   1048576
-#define LEAFS_MAX    256
-#define FIRST_REV    100
+#define HEAD_BYTES    16384
+#define BODY_BYTES    1048576
+#define LEAFS_MAX     256
+#define FIRST_REV     100
 #define EVENTS_A_PAGE 120 /* of one answer to a watch */
 
 typedef struct site site_t;
@@ -53,9 +53,9 @@
 	site_port_t *port;
 	stream_t *stream;
 	http_message_t message;
-	int64_t due_us;	     /* of the answer; 0: nothing in work */
+	int64_t due_us;		/* of the answer; 0: nothing in work */
 	int64_t watch_revision; /* -1: no watch */
-	char *kind;	     /* of the watch */
+	char *kind;		/* of the watch */
 	bool is_running, is_queued, is_ended;
 	GString *backlog;
 } site_link_t;
@@ -126,7 +126,7 @@
 	g_free(link);
 }
 
-/* ---- Store ---------------------------------------------------------------- */
+/* ---- Store ---- */
 
 static char *
 get_query(const char *target, const char *key)
@@ -175,9 +175,9 @@
 		if (event->revision <= link->watch_revision ||
 		    strcmp(event->kind, link->kind) != 0)
 			continue;
-		json_array_append_new(events,
-		    json_pack("{s:b,s:O}", "deleted", event->is_removed,
-			"object", event->object));
+		json_array_append_new(
+		    events, json_pack("{s:b,s:O}", "deleted", event->is_removed,
+				"object", event->object));
 		last = event->revision;
 		if (json_array_size(events) >= EVENTS_A_PAGE)
 			break;
@@ -225,8 +225,8 @@
 list_kind(site_link_t *link, const char *kind)
 {
 	site_t *site = link->port->site;
-	GList *keys = g_list_sort(g_hash_table_get_keys(site->objects),
-	    (GCompareFunc)strcmp);
+	GList *keys = g_list_sort(
+	    g_hash_table_get_keys(site->objects), (GCompareFunc)strcmp);
 	json_t *items = json_array();
 	char *prefix = g_strdup_printf("%s/", kind);
 
@@ -245,16 +245,16 @@
 write_kind(site_link_t *link, const char *path)
 {
 	site_t *site = link->port->site;
-	json_t *body = json_loadb(link->message.body->str,
-	    link->message.body->len, 0, NULL);
+	json_t *body = json_loadb(
+	    link->message.body->str, link->message.body->len, 0, NULL);
 	char **words = g_strsplit(path, "/", 4);
 	const char *name = words[1];
 	bool is_post = strcmp(http_get_method(&link->message), "POST") == 0;
 	char *key;
 
 	if (is_post)
-		name = json_string_value(json_object_get(
-		    json_object_get(body, "meta"), "name"));
+		name = json_string_value(
+		    json_object_get(json_object_get(body, "meta"), "name"));
 	key = g_strdup_printf("%s/%s", words[0], name);
 	if (strcmp(http_get_method(&link->message), "DELETE") == 0)
 		put_object(site, words[0], name, NULL);
@@ -265,8 +265,8 @@
 	else {
 		json_t *spec = json_object_get(body, "spec");
 
-		put_object(site, words[0], name,
-		    spec != NULL ? spec : json_object());
+		put_object(
+		    site, words[0], name, spec != NULL ? spec : json_object());
 	}
 	if (!link->is_ended)
 		respond_json(link, 200, json_object());
@@ -284,7 +284,8 @@
 	char *watch = get_query(target, "watch");
 	char *wait = get_query(target, "wait_ms");
 
-	if (strcmp(site->mode, "silent") == 0 || strcmp(site->mode, "lost") == 0)
+	if (strcmp(site->mode, "silent") == 0 ||
+	    strcmp(site->mode, "lost") == 0)
 		return;
 	if (strcmp(site->mode, "busy") == 0)
 		respond(link, 503, "", "", 0);
@@ -294,9 +295,9 @@
 		link->watch_revision = strtoll(watch, NULL, 10);
 		g_free(link->kind);
 		link->kind = g_strndup(path, strcspn(path, "/?"));
-		link->due_us = clock_get_us() +
-			       (wait != NULL ? strtoll(wait, NULL, 10) : 0) *
-				   1000;
+		link->due_us =
+		    clock_get_us() +
+		    (wait != NULL ? strtoll(wait, NULL, 10) : 0) * 1000;
 		answer_watch(link);
 	} else if (strcmp(http_get_method(&link->message), "GET") == 0) {
 		char *kind = g_strndup(path, strcspn(path, "/?"));
@@ -309,7 +310,7 @@
 	g_free(wait);
 }
 
-/* ---- Leafs ------------------------------------------------------------------ */
+/* ---- Leafs ---- */
 
 static bool
 is_hit(site_leaf_t *leaf, site_t *site, const char *fault)
@@ -377,8 +378,7 @@
 	    http_get_header(&link->message, "Plantainarch-Request-Id");
 	double work_ms = site->work_ms * (0.5 + draw(site));
 	char *key = g_strdup_printf("%s %s", id, leaf->service);
-	int count =
-	    GPOINTER_TO_INT(g_hash_table_lookup(site->runs, key)) + 1;
+	int count = GPOINTER_TO_INT(g_hash_table_lookup(site->runs, key)) + 1;
 
 	g_hash_table_insert(site->runs, key, GINT_TO_POINTER(count));
 	if (count > 1 && strstr(target, "/once/") != NULL)
@@ -411,7 +411,8 @@
 	}
 	if (expected == NULL || strcmp(expected, leaf->id) != 0 ||
 	    strcmp(leaf->fault, "moved") == 0) {
-		respond(link, 421, "Plantainarch-Instance-Id: other\r\n", "", 0);
+		respond(
+		    link, 421, "Plantainarch-Instance-Id: other\r\n", "", 0);
 		return;
 	}
 	if (leaf->is_draining)
@@ -428,7 +429,7 @@
 	g_queue_push_tail(&leaf->queue, link);
 }
 
-/* ---- Control ------------------------------------------------------------------ */
+/* ---- Control ---- */
 
 static void
 register_leaf(site_t *site, site_leaf_t *leaf, const char *state)
@@ -464,10 +465,10 @@
 	for (int i = 0; i < site->shards; i++) {
 		snprintf(name, sizeof(name), "shard-%d", i);
 		json_array_append_new(shards, json_string(name));
-		json_array_append_new(services,
-		    json_pack("{s:s,s:s,s:i,s:s,s:b}", "name", name,
-			"health_path", "/health", "max_conns", 26, "protocol",
-			"h1", "tls", 0));
+		json_array_append_new(
+		    services, json_pack("{s:s,s:s,s:i,s:s,s:b}", "name", name,
+				  "health_path", "/health", "max_conns", 26,
+				  "protocol", "h1", "tls", 0));
 	}
 	route = make_route("list", "/list/", "idempotent", timeout_ms, 1);
 	json_object_set(route, "gather", shards);
@@ -615,7 +616,7 @@
 	g_free(version);
 }
 
-/* ---- Connections ------------------------------------------------------------------ */
+/* ---- Connections ---- */
 
 static void
 feed(site_link_t *link, const char *data, size_t length)
--- a/tests/http_framing.c
+++ b/tests/http_framing.c
@@ -89,8 +89,8 @@
 	state = http_message_feed(&message, first, cut, &used);
 	rest = cut - used + length - cut;
 	if (state == HTTP_PARTIAL) {
-		state = http_message_feed(
-		    &message, second, length - cut, &used);
+		state =
+		    http_message_feed(&message, second, length - cut, &used);
 		rest = length - cut - used;
 	}
 	if (state != each->state) {
@@ -102,8 +102,7 @@
 			    ? http_get_header(&message, each->header)
 			    : NULL;
 		if (strcmp(message.body->str, each->body) != 0 ||
-		    rest != each->rest ||
-		    g_strcmp0(value, each->value) != 0) {
+		    rest != each->rest || g_strcmp0(value, each->value) != 0) {
 			printf("%s, cut at %zu: body \"%s\" rest %zu value "
 			       "\"%s\"\n",
 			    each->name, cut, message.body->str, rest,
--- a/tests/support/tier_world.c
+++ b/tests/support/tier_world.c
@@ -134,10 +134,9 @@
 {
 	world_event_t *event = g_new0(world_event_t, 1);
 
-	*event = (world_event_t) { at_us, world->order++, type, flow, job,
-		leaf };
-	g_sequence_insert_sorted(
-	    world->events, event, compare_events, NULL);
+	*event =
+	    (world_event_t){ at_us, world->order++, type, flow, job, leaf };
+	g_sequence_insert_sorted(world->events, event, compare_events, NULL);
 }
 
 static void
@@ -148,7 +147,7 @@
 	    (double)world->now_us / 1e6, what, call->id);
 }
 
-/* ---- Leafs ------------------------------------------------------------------- */
+/* ---- Leafs ---- */
 
 static bool
 is_in_fault(const tier_world_t *world, const world_leaf_t *leaf)
@@ -264,8 +263,8 @@
 
 	if (attempt == NULL)
 		return;
-	g_snprintf(stamp, sizeof(stamp), "%s.%s", job->call->id,
-	    job->leaf->service);
+	g_snprintf(
+	    stamp, sizeof(stamp), "%s.%s", job->call->id, job->leaf->service);
 	for (size_t i = 0; i < sizeof(body); i++)
 		body[i] = (char)gsl_rng_uniform_int(world->random, 256);
 	job->attempt = NULL;
@@ -274,7 +273,7 @@
 	tier_handle_answer(job->vm->tier, world->now_us, attempt, &answer);
 }
 
-/* ---- The shell ----------------------------------------------------------------- */
+/* ---- The shell ---- */
 
 static void
 shell_send(void *context, tier_attempt_t *attempt)
@@ -294,11 +293,15 @@
 		if (strcmp(leaf->id, attempt->leaf->entry.id) == 0)
 			job->leaf = leaf;
 	}
-	job->way_us =
-	    job->leaf->zone == vm->zone ? WAY_SAME_US : WAY_REMOTE_US;
+	if (job->leaf == NULL) {
+		report(world, "sent to a leaf that does not exist", call);
+		g_free(job);
+		return;
+	}
+	job->way_us = job->leaf->zone == vm->zone ? WAY_SAME_US : WAY_REMOTE_US;
 	job->leaf->connections++;
-	world->totals.most_connections = MAX(
-	    world->totals.most_connections, job->leaf->connections);
+	world->totals.most_connections =
+	    MAX(world->totals.most_connections, job->leaf->connections);
 	if (attempt->is_extra)
 		world->totals.extra++;
 	else
@@ -325,8 +328,8 @@
 }
 
 static void
-check_gather(tier_world_t *world, const world_call_t *call,
-    const tier_answer_t *answer)
+check_gather(
+    tier_world_t *world, const world_call_t *call, const tier_answer_t *answer)
 {
 	int shards = world->options.shards;
 	int parts = (int)answer->stamps->len;
@@ -344,8 +347,8 @@
 		if (!g_str_has_prefix(stamp, call->id))
 			report(world, "a part of another request", call);
 		for (int j = 0; j < i; j++)
-			if (strcmp(stamp, g_ptr_array_index(
-					      answer->stamps, j)) == 0)
+			if (strcmp(stamp,
+				g_ptr_array_index(answer->stamps, j)) == 0)
 				report(world, "a shard twice", call);
 	}
 	for (size_t i = RECORD_BYTES; i < answer->records->len;
@@ -406,7 +409,7 @@
 {
 }
 
-/* ---- Setting up ------------------------------------------------------------------ */
+/* ---- Setting up ---- */
 
 static directory_t *
 make_directory(const tier_world_t *world)
@@ -420,8 +423,7 @@
 			.is_draining = leaf->is_draining };
 
 		g_strlcpy(entry.id, leaf->id, sizeof(entry.id));
-		g_strlcpy(
-		    entry.service, leaf->service, sizeof(entry.service));
+		g_strlcpy(entry.service, leaf->service, sizeof(entry.service));
 		g_snprintf(entry.zone, sizeof(entry.zone), "z%d", leaf->zone);
 		g_snprintf(entry.address, sizeof(entry.address), "10.0.0.%d:1",
 		    leaf->number);
@@ -594,7 +596,7 @@
 	g_free(world);
 }
 
-/* ---- Running ---------------------------------------------------------------------- */
+/* ---- Running ---- */
 
 static void
 make_call(tier_world_t *world, int flow)
@@ -616,8 +618,7 @@
 	call->flow = flow;
 	call->begun_us = world->now_us;
 	g_snprintf(call->id, sizeof(call->id), "r%u", world->calls->len);
-	g_snprintf(
-	    call->target, sizeof(call->target), "%s2f", info->prefix);
+	g_snprintf(call->target, sizeof(call->target), "%s2f", info->prefix);
 	g_ptr_array_add(world->calls, call);
 	ask.id = call->id;
 	ask.target = call->target;
--- a/tests/support/tier_world.h
+++ b/tests/support/tier_world.h
@@ -35,10 +35,10 @@
 	world_flow_t flows[4];
 	int flow_count;
 	world_fault_t fault;
-	double fault_share;	/* of all leafs */
-	int fault_shard;	/* all leafs of this shard instead; -1: none */
+	double fault_share; /* of all leafs */
+	int fault_shard;    /* all leafs of this shard instead; -1: none */
 	int64_t fault_begin_us, fault_end_us;
-	int drain_leafs; /* so many drain at 4 s */
+	int drain_leafs;      /* so many drain at 4 s */
 	bool is_unrepeatable; /* "/fetch/" is not idempotent */
 } tier_world_options_t;
 
@@ -49,7 +49,7 @@
 } world_result_t;
 
 typedef struct world_totals {
-	int violations; /* of any invariant; each is printed */
+	int violations;	  /* of any invariant; each is printed */
 	int first, extra; /* requests that reached leafs */
 	int runs_twice, refused_but_ran, sent_to_drained;
 	int most_connections; /* in work at one leaf, from all VMs */
--- a/tests/tier_load.c
+++ b/tests/tier_load.c
@@ -8,15 +8,20 @@
 
 #include "tier_world.h"
 
-#define RUN_US	  12000000
-#define SEEDS	  3
-#define FLOWS_ALL { { "/list/", 67.5, 0 }, { "/lookup/", 22.5, 0 }, \
-			  { "/fetch/", 22.5, 0 } }
+#define RUN_US 12000000
+#define SEEDS  3
+#define FLOWS_ALL                                               \
+	{                                                       \
+		{ "/list/", 67.5, 0 }, { "/lookup/", 22.5, 0 }, \
+		{                                               \
+			"/fetch/", 22.5, 0                      \
+		}                                               \
+	}
 
 typedef struct pattern {
 	const char *name;
 	tier_world_options_t options;
-	double least[3]; /* worth of each flow, as a share of what is owed */
+	double least[3];  /* worth of each flow, as a share of what is owed */
 	double refuse_ms; /* the most a refusal may take; 0: not checked */
 } pattern_t;
 
@@ -181,20 +186,20 @@
 		const world_result_t *result = tier_world_get_result(world, i);
 		double share = result->worth / result->owed;
 
-		errors += check(share >= pattern->least[i],
-		    options.flows[i].prefix, share);
+		errors += check(
+		    share >= pattern->least[i], options.flows[i].prefix, share);
 	}
-	errors += check(totals->violations == 0, "violations",
-	    totals->violations);
-	errors += check(totals->runs_twice == 0, "ran twice",
-	    totals->runs_twice);
+	errors +=
+	    check(totals->violations == 0, "violations", totals->violations);
+	errors +=
+	    check(totals->runs_twice == 0, "ran twice", totals->runs_twice);
 	errors += check(totals->refused_but_ran == 0, "refused but ran",
 	    totals->refused_but_ran);
 	errors += check(totals->sent_to_drained == 0, "sent to a drained leaf",
 	    totals->sent_to_drained);
 	/* The ratio of all and the constant for each service and window. */
-	errors += check(totals->extra <= 0.2 * totals->first +
-					     2 * 58 * (options.shards + 1),
+	errors += check(totals->extra <=
+			    0.2 * totals->first + 2 * 58 * (options.shards + 1),
 	    "extra requests", totals->extra);
 	errors += check(totals->most_connections <= 110,
 	    "connections to one leaf", totals->most_connections);
