--- /dev/null
+++ b/src/part.c
@@ -0,0 +1,432 @@
+/**
+ * @file part.c
+ * One part of a request: its first attempt, hedges and retries, and the queue
+ * in which it waits for a connection. What an answer means for the request is
+ * returned, never decided here.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "tier_private.h"
+
+#define HEDGE_AGAIN_US	15000  /* between looks at a part that can't hedge */
+#define RESTARTS_MOST	3      /* of a part whose request did not arrive */
+#define ABANDON_US	250000 /* a leaf may finish what nobody waits for */
+#define LOWER_TURN	4      /* each such dispatch goes to a lower rank */
+#define LATENCY_WEIGHT	0.1
+#define LATENCY_CLIP_US 250000.0 /* a pause more or less */
+
+void
+part_queue(tier_part_t *part, int rank)
+{
+	tier_service_t *service = part->service;
+
+	if (part->is_queued)
+		return;
+	part->state = PART_WAITING;
+	part->is_queued = true;
+	part->queue_rank = rank;
+	TAILQ_INSERT_TAIL(&service->waiting[rank], part, in_queue);
+	service->waiting_count++;
+	service->waiting_by_rank[rank]++;
+	part->request->tier->waiting_count++;
+}
+
+void
+part_unqueue(tier_part_t *part)
+{
+	tier_service_t *service = part->service;
+
+	if (!part->is_queued)
+		return;
+	part->is_queued = false;
+	TAILQ_REMOVE(&service->waiting[part->queue_rank], part, in_queue);
+	service->waiting_count--;
+	service->waiting_by_rank[part->queue_rank]--;
+	part->request->tier->waiting_count--;
+}
+
+static void
+send_attempt(
+    tier_part_t *part, tier_leaf_t *leaf, int64_t now_us, bool is_extra)
+{
+	tier_request_t *request = part->request;
+	tier_t *tier = request->tier;
+	kind_belief_t *kind = &request->state->kind;
+	tier_attempt_t *attempt = g_new0(tier_attempt_t, 1);
+
+	attempt->part = part;
+	attempt->leaf = leaf;
+	attempt->kind = kind;
+	attempt->sent_us = now_us;
+	attempt->remaining_us = request->deadline_us - now_us;
+	attempt->close_us = request->deadline_us + ABANDON_US;
+	attempt->is_extra = is_extra;
+	attempt->ask = &request->ask;
+	attempt->caller = request->caller;
+	TAILQ_INSERT_TAIL(&tier->attempts, attempt, in_flight);
+	leaf->in_flight++;
+	part->state = PART_SENT;
+	part->sent_count++;
+	part->open_count++;
+	part->tried.leafs[part->tried.count++] = leaf;
+	part->hedge_us =
+	    now_us + belief_get_overdue_us(kind, &leaf->belief, *leaf->rtt_us);
+	request->due_us = MIN(request->due_us, part->hedge_us);
+	tier->due_us = MIN(tier->due_us, request->due_us);
+	request->may_have_run = true;
+	if (is_extra) {
+		request->extra_count++;
+		metric_add(METRIC_TIER_EXTRA, 1);
+	}
+	metric_add(METRIC_TIER_LEAF_REQUESTS, 1);
+	tier->shell.send(tier->shell.context, attempt);
+	attempt->ask = NULL;
+	attempt->caller = NULL;
+}
+
+static bool
+take_budget(tier_part_t *part, int64_t now_us)
+{
+	const tier_t *tier = part->request->tier;
+
+	return budget_take(&part->service->budget, now_us,
+	    tier->options.retry_ratio,
+	    tier->options.retry_slack / tier->vm_count);
+}
+
+/*
+ * Sends one more attempt if a leaf is free that can answer in time and the
+ * budget allows it. A hedge goes to no leaf that is stalled itself.
+ * Returns NULL, or why nothing was sent.
+ */
+static const char *
+send_extra(tier_part_t *part, int64_t now_us, bool is_hedge)
+{
+	tier_request_t *request = part->request;
+	tier_leaf_t *leaf;
+	int64_t expected_us;
+
+	if (part->sent_count >= MIN(request->route->attempts, ATTEMPTS_LIMIT) ||
+	    part->tried.count >= ATTEMPTS_LIMIT)
+		return "no attempt is left";
+	switch (reach_choose(part->service, &request->state->kind,
+	    request->rank, &part->tried, now_us, request->tier->random, &leaf,
+	    &expected_us)) {
+	case REACH_NONE:
+		return "no other leaf can be used";
+	case REACH_BUSY:
+		return "all other leafs are busy";
+	case REACH_FOUND:
+		break;
+	}
+	if (is_hedge && leaf->belief.is_stalled)
+		return "the other leaf is stalled too";
+	if (is_hedge && now_us + expected_us > request->deadline_us)
+		return "no time is left";
+	if (!take_budget(part, now_us)) {
+		metric_add(METRIC_TIER_BUDGET_EMPTY, 1);
+		return "the budget is empty";
+	}
+	send_attempt(part, leaf, now_us, true);
+	return NULL;
+}
+
+static void
+log_retry(const tier_part_t *part, const char *why_not)
+{
+	tier_t *tier = part->request->tier;
+	const budget_t *budget = &part->service->budget;
+	char text[384];
+
+	snprintf(text, sizeof(text),
+	    "\"id\":\"%s\",\"service\":\"%s\",\"sent\":%d,\"budget_first\":%d,"
+	    "\"budget_extra\":%d,\"vms\":%d,\"why\":\"%s\"",
+	    part->request->ask.id, part->service->name, part->sent_count,
+	    budget->first_sum, budget->extra_sum, tier->vm_count,
+	    why_not != NULL ? why_not : "");
+	tier->shell.log(tier->shell.context,
+	    why_not != NULL ? LOG_TIER_NOT_RETRIED : LOG_TIER_RETRIED, text);
+}
+
+void
+part_fail(tier_part_t *part)
+{
+	part_unqueue(part);
+	part->state = PART_FAILED;
+	part->request->failed_count++;
+}
+
+/* Sends the first attempt, queues it, or fails the part. */
+void
+part_start(tier_part_t *part, int64_t now_us, bool is_extra)
+{
+	tier_request_t *request = part->request;
+	tier_leaf_t *leaf;
+	int64_t expected_us;
+
+	switch (reach_choose(part->service, &request->state->kind,
+	    request->rank, &part->tried, now_us, request->tier->random, &leaf,
+	    &expected_us)) {
+	case REACH_FOUND:
+		part_unqueue(part);
+		send_attempt(part, leaf, now_us, is_extra);
+		break;
+	case REACH_BUSY:
+		part_queue(part, request->rank);
+		break;
+	case REACH_NONE:
+		part_fail(part);
+		break;
+	}
+}
+
+/* All that waits at a stalled leaf moves at once, within the budget. */
+static void
+note_stall(tier_t *tier, tier_leaf_t *leaf, int64_t now_us)
+{
+	tier_attempt_t *attempt;
+
+	if (leaf->belief.is_stalled)
+		return;
+	belief_note_stall(&leaf->belief, now_us);
+	TAILQ_FOREACH (attempt, &tier->attempts, in_flight) {
+		tier_part_t *part = attempt->part;
+
+		if (attempt->leaf != leaf || part == NULL ||
+		    part->state != PART_SENT || part->open_count > 1)
+			continue;
+		part->hedge_us = now_us;
+		part->request->due_us = now_us;
+		tier->due_us = now_us;
+	}
+}
+
+static tier_attempt_t *
+find_attempt(tier_t *tier, const tier_part_t *part)
+{
+	tier_attempt_t *attempt;
+
+	TAILQ_FOREACH (attempt, &tier->attempts, in_flight)
+		if (attempt->part == part)
+			return attempt;
+	return NULL;
+}
+
+void
+part_hedge(tier_part_t *part, int64_t now_us)
+{
+	tier_t *tier = part->request->tier;
+	tier_attempt_t *open = find_attempt(tier, part);
+
+	part->hedge_us = now_us + HEDGE_AGAIN_US;
+	if (open != NULL)
+		note_stall(tier, open->leaf, now_us);
+	if (!part->request->route->may_repeat)
+		return;
+	if (send_extra(part, now_us, true) == NULL)
+		part->hedge_us = INT64_MAX;
+}
+
+static void
+note_latency(tier_service_t *service, int64_t took_us)
+{
+	double latency = MIN((double)took_us, LATENCY_CLIP_US);
+
+	if (service->latency_us == 0)
+		service->latency_us = latency;
+	service->latency_us += LATENCY_WEIGHT * (latency - service->latency_us);
+}
+
+/* False only where the leaf said so or nothing was sent. */
+static bool
+has_run(attempt_outcome_t outcome)
+{
+	return outcome != OUTCOME_NOT_RUN && outcome != OUTCOME_MISDIRECTED &&
+	       outcome != OUTCOME_UNSENT;
+}
+
+static void
+note_outcome(tier_t *tier, tier_attempt_t *attempt, int64_t now_us,
+    const leaf_answer_t *answer)
+{
+	tier_leaf_t *leaf = attempt->leaf;
+	char text[384];
+
+	switch (answer->outcome) {
+	case OUTCOME_ANSWERED:
+		note_latency(leaf->service, now_us - attempt->sent_us);
+		belief_note_answer(attempt->kind, &leaf->belief, now_us,
+		    *leaf->rtt_us, now_us - attempt->sent_us);
+		return;
+	case OUTCOME_MISDIRECTED:
+		leaf->is_moved = true;
+		break;
+	default:
+		break;
+	}
+	belief_note_failure(&leaf->belief, now_us, answer->outcome);
+	if (!log_is_enabled(LOG_TIER_ATTEMPT_FAILED))
+		return;
+	snprintf(text, sizeof(text),
+	    "\"id\":\"%s\",\"leaf\":\"%s\",\"service\":\"%s\","
+	    "\"outcome\":\"%s\",\"status\":%d,\"took_us\":%" G_GINT64_FORMAT
+	    ",\"failures\":%.2f,\"down_us\":%" G_GINT64_FORMAT,
+	    attempt->part != NULL ? attempt->part->request->ask.id : "",
+	    leaf->entry.id, leaf->entry.service,
+	    outcome_get_name(answer->outcome), answer->status,
+	    now_us - attempt->sent_us, leaf->belief.failures,
+	    MAX(leaf->belief.down_until_us - now_us, 0));
+	tier->shell.log(tier->shell.context, LOG_TIER_ATTEMPT_FAILED, text);
+}
+
+/* Whether any attempt has or may have run, or still may. */
+static void
+update_run(tier_request_t *request)
+{
+	bool may_have_run = false;
+
+	for (int i = 0; i < request->part_count; i++)
+		may_have_run = may_have_run ||
+			       request->parts[i].state == PART_DONE ||
+			       request->parts[i].may_have_run ||
+			       request->parts[i].open_count > 0;
+	request->may_have_run = may_have_run;
+}
+
+static bool
+is_free_retry(attempt_outcome_t outcome)
+{
+	return outcome == OUTCOME_UNSENT || outcome == OUTCOME_CROWDED;
+}
+
+/*
+ * Begins a part again whose request did not arrive. The leaf that it was meant
+ * for may be chosen again, on a connection that is open.
+ * Returns false if no leaf can be used.
+ */
+static bool
+restart_part(tier_part_t *part, int64_t now_us)
+{
+	if (++part->restart_count > RESTARTS_MOST)
+		return false;
+	part->tried.count = MAX(part->tried.count - 1, 0);
+	part_start(part, now_us, false);
+	if (part->state != PART_FAILED)
+		return true;
+	part->request->failed_count--; /* the caller fails it */
+	part->state = PART_SENT;
+	return false;
+}
+
+/* The part's attempt failed: another leaf, or the end of the part. */
+static part_result_t
+retry_part(tier_part_t *part, int64_t now_us, const leaf_answer_t *answer)
+{
+	tier_request_t *request = part->request;
+	bool ran = has_run(answer->outcome);
+
+	part->may_have_run = part->may_have_run || ran;
+	if (!ran || answer->outcome == OUTCOME_CROWDED)
+		part->sent_count--; /* it does not count as an attempt */
+	if (answer->outcome == OUTCOME_CROWDED)
+		take_budget(part, now_us); /* it may have arrived */
+	update_run(request);
+	if (part->open_count > 0)
+		return PART_GOES_ON; /* the other may still answer */
+	if (request->route->may_repeat || !ran) {
+		if (is_free_retry(answer->outcome)) {
+			/* Never arrived: neither an attempt nor an extra one.
+			 */
+			if (restart_part(part, now_us))
+				return PART_GOES_ON;
+		} else {
+			const char *why_not = send_extra(part, now_us, false);
+
+			log_retry(part, why_not);
+			if (why_not == NULL)
+				return PART_GOES_ON;
+		}
+	}
+	if (!request->route->is_gather &&
+	    answer->outcome == OUTCOME_LEAF_FAILED)
+		return PART_HAS_ANSWER;
+	part_fail(part);
+	return PART_HAS_FAILED;
+}
+
+static void
+detach_attempt(tier_t *tier, tier_attempt_t *attempt)
+{
+	TAILQ_REMOVE(&tier->attempts, attempt, in_flight);
+	attempt->leaf->in_flight--;
+}
+
+/* The last attempt at a leaf that is gone frees the leaf too. */
+static void
+free_attempt(tier_attempt_t *attempt)
+{
+	tier_leaf_t *leaf = attempt->leaf;
+
+	g_free(attempt);
+	if (leaf->is_gone && leaf->in_flight == 0)
+		g_free(leaf);
+}
+
+void
+part_drop_attempt(tier_t *tier, tier_attempt_t *attempt)
+{
+	detach_attempt(tier, attempt);
+	free_attempt(attempt);
+}
+
+/*
+ * Ends an attempt. What it means for the request is the caller's to decide; the
+ * attempt is freed, and perhaps its leaf.
+ */
+part_result_t
+part_handle_answer(tier_t *tier, int64_t now_us, tier_attempt_t *attempt,
+    const leaf_answer_t *answer)
+{
+	tier_part_t *part = attempt->part;
+	bool is_final =
+	    answer->outcome == OUTCOME_LEAF_FAILED && answer->status < 500;
+	part_result_t result = PART_GOES_ON;
+
+	detach_attempt(tier, attempt);
+	note_outcome(tier, attempt, now_us, answer);
+	if (part != NULL)
+		part->open_count--;
+	if (part != NULL && part->state == PART_SENT) {
+		if (answer->outcome == OUTCOME_ANSWERED) {
+			part->state = PART_DONE;
+			result = PART_IS_DONE;
+		} else if (is_final && !part->request->route->is_gather)
+			result = PART_HAS_ANSWER;
+		else
+			result = retry_part(part, now_us, answer);
+	}
+	free_attempt(attempt);
+	return result;
+}
+
+/* The next waiting part: urgent first, but lower ranks keep a share. */
+tier_part_t *
+part_get_next_waiting(tier_service_t *service)
+{
+	bool is_lower_turn = service->turns % LOWER_TURN == LOWER_TURN - 1;
+	tier_part_t *first = NULL;
+
+	for (int i = 0; i < TIER_RANKS; i++) {
+		tier_part_t *part = TAILQ_FIRST(&service->waiting[i]);
+
+		if (part == NULL)
+			continue;
+		if (first != NULL)
+			return part;
+		first = part;
+		if (!is_lower_turn)
+			return first;
+	}
+	return first;
+}
--- /dev/null
+++ b/src/tier_answers.c
@@ -0,0 +1,200 @@
+/**
+ * @file tier_answers.c
+ * Ends requests: the answer, and the point at which nothing better can come.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "tier_private.h"
+
+#define RETRY_AFTER_US 300000 /* without a better estimate */
+
+/* One line for each request that did not simply succeed in time. */
+void
+tier_log_end(tier_request_t *request, int64_t now_us, const char *outcome)
+{
+	tier_t *tier = request->tier;
+	int64_t took_us = now_us - request->ask.arrived_us;
+	bool is_plain = request->extra_count == 0 &&
+			request->failed_count == 0 &&
+			request->done_count == request->part_count &&
+			took_us <= request->route->objective_us;
+	log_event_t event =
+	    is_plain ? LOG_TIER_SERVED : LOG_TIER_SERVED_OTHERWISE;
+	char text[512];
+
+	if (!log_is_enabled(event))
+		return;
+	snprintf(text, sizeof(text),
+	    "\"id\":\"%s\",\"route\":\"%s\",\"version\":%" G_GUINT64_FORMAT
+	    ",\"outcome\":\"%s\",\"took_us\":%" G_GINT64_FORMAT
+	    ",\"patience_us\":%" G_GINT64_FORMAT
+	    ",\"caller_rtt_us\":%" G_GINT64_FORMAT
+	    ",\"parts\":%d,\"done\":%d,\"failed\":%d,\"extra\":%d",
+	    request->ask.id, request->route->name, request->table->version,
+	    outcome, took_us, request->ask.patience_us, request->ask.rtt_us,
+	    request->part_count, request->done_count, request->failed_count,
+	    request->extra_count);
+	tier->shell.log(tier->shell.context, event, text);
+}
+
+void
+tier_answer_own(tier_t *tier, void *caller, int status, int64_t retry_after_us,
+    const char *reason)
+{
+	tier_answer_t answer = { .type = ANSWER_OWN,
+		.status = status,
+		.retry_after_us = retry_after_us,
+		.reason = reason };
+
+	tier->shell.answer(tier->shell.context, caller, &answer);
+}
+
+static double
+get_share(const tier_request_t *request)
+{
+	return (double)request->done_count / request->part_count;
+}
+
+bool
+tier_is_enough(const tier_request_t *request)
+{
+	return request->done_count > 0 &&
+	       get_share(request) >= request->route->least_share;
+}
+
+/*
+ * A refusal promises that nothing has run. What may have run ends with a
+ * status that promises nothing.
+ */
+void
+tier_finish_unserved(tier_request_t *request, int64_t now_us, bool is_late)
+{
+	int status = request->may_have_run ? (is_late ? 504 : 502) : 503;
+
+	metric_add(status == 503 ? METRIC_TIER_REFUSED : METRIC_TIER_FAILED, 1);
+	tier_log_end(request, now_us,
+	    status == 503 ? "refused" : (is_late ? "late" : "failed"));
+	tier_answer_own(request->tier, request->caller, status,
+	    status == 503 ? RETRY_AFTER_US : 0,
+	    status == 503 ? "no leaf can run this now"
+			  : "the leafs did not answer");
+	tier_end_request(request);
+}
+
+void
+tier_finish_gather(tier_request_t *request, int64_t now_us)
+{
+	tier_t *tier = request->tier;
+	GString *records = g_string_sized_new(1024);
+	tier_answer_t answer = { .type = ANSWER_GATHER,
+		.status = 200,
+		.stamps = request->stamps,
+		.missing = request->part_count - request->done_count,
+		.records = records };
+
+	gather_finish(request->gather, records);
+	metric_add(METRIC_TIER_SERVED, 1);
+	if (answer.missing > 0)
+		metric_add(METRIC_TIER_PARTIAL, 1);
+	tier_log_end(request, now_us, answer.missing > 0 ? "partial" : "whole");
+	tier->shell.answer(tier->shell.context, request->caller, &answer);
+	g_string_free(records, TRUE);
+	tier_end_request(request);
+}
+
+void
+tier_finish_forward(
+    tier_request_t *request, int64_t now_us, const leaf_answer_t *leaf_answer)
+{
+	tier_t *tier = request->tier;
+	tier_answer_t answer = { .type = ANSWER_LEAF,
+		.status = leaf_answer->status,
+		.leaf_answer = leaf_answer->message };
+
+	metric_add(leaf_answer->outcome == OUTCOME_ANSWERED
+		       ? METRIC_TIER_SERVED
+		       : METRIC_TIER_FAILED,
+	    1);
+	tier_log_end(request, now_us, outcome_get_name(leaf_answer->outcome));
+	tier->shell.answer(tier->shell.context, request->caller, &answer);
+	tier_end_request(request);
+}
+
+/* Leaves the open attempts to finish without a receiver. */
+static void
+abandon_attempts(tier_request_t *request)
+{
+	tier_attempt_t *attempt;
+
+	TAILQ_FOREACH (attempt, &request->tier->attempts, in_flight) {
+		if (attempt->part != NULL && attempt->part->request == request)
+			attempt->part = NULL;
+	}
+}
+
+void
+tier_end_request(tier_request_t *request)
+{
+	tier_t *tier = request->tier;
+
+	abandon_attempts(request);
+	for (int i = 0; i < request->part_count; i++) {
+		part_unqueue(&request->parts[i]);
+	}
+	TAILQ_REMOVE(&tier->requests, request, in_tier);
+	TAILQ_INSERT_TAIL(&tier->ended, request, in_tier);
+	tier->request_count--;
+	request->is_ended = true;
+}
+
+/* Requests end inside of loops over them, and are freed outside. */
+void
+tier_free_ended(tier_t *tier)
+{
+	tier_request_t *request, *next;
+
+	for (request = TAILQ_FIRST(&tier->ended); request != NULL;
+	     request = next) {
+		next = TAILQ_NEXT(request, in_tier);
+		gather_destroy(request->gather);
+		if (request->stamps != NULL)
+			g_ptr_array_unref(request->stamps);
+		route_table_release(request->table);
+		g_free(request->parts);
+		g_free(request);
+	}
+	TAILQ_INIT(&tier->ended);
+}
+
+/*
+ * Ends the request if nothing better can come: all parts are in, or those that
+ * are still open can't make it a success.
+ */
+static void
+settle_gather(tier_request_t *request, int64_t now_us)
+{
+	int open =
+	    request->part_count - request->done_count - request->failed_count;
+	double best =
+	    (double)(request->done_count + open) / request->part_count;
+
+	if (open == 0 && tier_is_enough(request))
+		tier_finish_gather(request, now_us);
+	else if (open == 0 || best < request->route->least_share)
+		tier_finish_unserved(request, now_us, false);
+	else if (now_us >= request->stop_us && tier_is_enough(request) &&
+		 now_us <= request->stop_us + RETURN_MARGIN_US)
+		tier_finish_gather(request, now_us);
+}
+
+void
+tier_settle(tier_request_t *request, int64_t now_us)
+{
+	if (request->is_ended)
+		return;
+	if (request->route->is_gather)
+		settle_gather(request, now_us);
+	else if (request->failed_count > 0)
+		tier_finish_unserved(request, now_us, false);
+}
--- /dev/null
+++ b/src/tier_leafs.c
@@ -0,0 +1,275 @@
+/**
+ * @file tier_leafs.c
+ * Applies the directory: the configuration in force, the leafs of each service
+ * and how many connections this VM may hold to each.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "tier_private.h"
+
+#define CONNECTION_SLACK 2   /* of a leaf's limit, for VMs that join */
+#define LEAF_LINES_MOST	 8   /* of one directory; the rest is counted */
+#define LEAF_LIMIT_MOST	 32  /* connections of one VM to one leaf */
+#define RTT_SAME_US	 400 /* until measured, by distance */
+#define RTT_REGION_US	 3500
+#define RTT_REMOTE_US	 25000
+
+static int64_t *find_rtt(tier_t *tier, const char *zone);
+
+tier_service_t *
+tier_find_service(tier_t *tier, const char *name)
+{
+	tier_service_t *service = g_hash_table_lookup(tier->services, name);
+
+	if (service != NULL)
+		return service;
+	service = g_new0(tier_service_t, 1);
+	g_strlcpy(service->name, name, sizeof(service->name));
+	service->connections = 1;
+	LIST_INIT(&service->leafs);
+	for (int i = 0; i < TIER_RANKS; i++)
+		TAILQ_INIT(&service->waiting[i]);
+	budget_begin(&service->budget, tier->options.retry_window_us);
+	g_hash_table_insert(tier->services, service->name, service);
+	return service;
+}
+
+static int
+get_distance(const tier_t *tier, const char *zone)
+{
+	const char *region = g_hash_table_lookup(tier->options.regions, zone);
+
+	if (strcmp(zone, tier->options.zone) == 0)
+		return 0;
+	if (region != NULL && strcmp(region, tier->options.region) == 0)
+		return 1;
+	return 2;
+}
+
+static int64_t *
+find_rtt(tier_t *tier, const char *zone)
+{
+	static const int64_t first[] = { RTT_SAME_US, RTT_REGION_US,
+		RTT_REMOTE_US };
+	int64_t *rtt = g_hash_table_lookup(tier->rtts, zone);
+
+	if (rtt != NULL)
+		return rtt;
+	rtt = g_new(int64_t, 1);
+	*rtt = first[get_distance(tier, zone)];
+	g_hash_table_insert(tier->rtts, g_strdup(zone), rtt);
+	return rtt;
+}
+
+void
+tier_handle_rtt(tier_leaf_t *leaf, int64_t rtt_us)
+{
+	/* The least of many is the network; the rest is load. */
+	if (rtt_us < *leaf->rtt_us)
+		*leaf->rtt_us = MAX(rtt_us, 50);
+	else
+		*leaf->rtt_us +=
+		    (MIN(rtt_us, 2 * *leaf->rtt_us) - *leaf->rtt_us) / 20;
+}
+
+static void
+remove_leaf(tier_t *tier, tier_leaf_t *leaf)
+{
+	if (!leaf->is_gone) {
+		LIST_REMOVE(leaf, in_service);
+		leaf->service->leaf_count--;
+		g_hash_table_remove(tier->leafs, leaf->entry.id);
+		leaf->is_gone = true;
+		tier->shell.forget(tier->shell.context, leaf);
+	}
+	if (leaf->in_flight == 0)
+		g_free(leaf);
+}
+
+static void
+add_leaf(tier_t *tier, int64_t now_us, const leaf_entry_t *entry)
+{
+	tier_leaf_t *leaf = g_new0(tier_leaf_t, 1);
+
+	leaf->entry = *entry;
+	leaf->service = tier_find_service(tier, entry->service);
+	leaf->distance = get_distance(tier, entry->zone);
+	leaf->rtt_us = find_rtt(tier, entry->zone);
+	leaf_belief_begin(&leaf->belief);
+	leaf->belief.cold_until_us = now_us + entry->cold_us;
+	LIST_INSERT_HEAD(&leaf->service->leafs, leaf, in_service);
+	leaf->service->leaf_count++;
+	g_hash_table_insert(tier->leafs, leaf->entry.id, leaf);
+}
+
+/* A new lifetime, place or service makes it another leaf. */
+static bool
+is_same_leaf(const leaf_entry_t *left, const leaf_entry_t *right)
+{
+	return left->born_ms == right->born_ms &&
+	       strcmp(left->address, right->address) == 0 &&
+	       strcmp(left->service, right->service) == 0;
+}
+
+static void
+log_leaf(tier_t *tier, const leaf_entry_t *entry, const char *change)
+{
+	char text[512];
+
+	if (++tier->changed_leafs > LEAF_LINES_MOST)
+		return;
+	snprintf(text, sizeof(text),
+	    "\"leaf\":\"%s\",\"service\":\"%s\",\"address\":\"%s\","
+	    "\"change\":\"%s\"",
+	    entry->id, entry->service, entry->address, change);
+	tier->shell.log(tier->shell.context, LOG_TIER_LEAF, text);
+}
+
+static void
+apply_leaf(tier_t *tier, int64_t now_us, const leaf_entry_t *entry)
+{
+	tier_leaf_t *leaf = g_hash_table_lookup(tier->leafs, entry->id);
+
+	if (leaf != NULL && !is_same_leaf(&leaf->entry, entry)) {
+		log_leaf(tier, &leaf->entry, "replaced");
+		remove_leaf(tier, leaf);
+		leaf = NULL;
+	}
+	if (leaf == NULL) {
+		add_leaf(tier, now_us, entry);
+		log_leaf(tier, entry, entry->is_draining ? "draining" : "new");
+		return;
+	}
+	if (leaf->entry.is_draining != entry->is_draining)
+		log_leaf(tier, entry,
+		    entry->is_draining ? "draining" : "ready again");
+	leaf->entry = *entry;
+}
+
+static void
+apply_table(tier_t *tier, route_table_t *table)
+{
+	char text[128];
+
+	if (tier->table != NULL && table->version <= tier->table->version) {
+		if (table->version < tier->table->version)
+			tier->shell.log(tier->shell.context,
+			    LOG_INVARIANT_REVERT, "\"what\":\"configuration\"");
+		return;
+	}
+	snprintf(text, sizeof(text),
+	    "\"version\":%" G_GUINT64_FORMAT ",\"before\":%" G_GUINT64_FORMAT
+	    ",\"routes\":%u",
+	    table->version, tier->table != NULL ? tier->table->version : 0,
+	    table->routes->len);
+	tier->shell.log(tier->shell.context, LOG_TIER_CONFIGURATION, text);
+	route_table_release(tier->table);
+	tier->table = route_table_acquire(table);
+	tier->limits = table->limits;
+	for (guint i = 0; i < table->services->len; i++) {
+		const service_entry_t *entry =
+		    g_ptr_array_index(table->services, i);
+
+		tier_find_service(tier, entry->name)->connections =
+		    entry->connections;
+	}
+}
+
+/* Says how many changes have no line of their own. */
+static void
+log_leafs(tier_t *tier)
+{
+	char text[128];
+
+	if (tier->changed_leafs > LEAF_LINES_MOST) {
+		snprintf(text, sizeof(text), "\"not_listed\":%d,\"known\":%u",
+		    tier->changed_leafs - LEAF_LINES_MOST,
+		    g_hash_table_size(tier->leafs));
+		tier->shell.log(tier->shell.context, LOG_TIER_LEAFS, text);
+	}
+	tier->changed_leafs = 0;
+}
+
+/*
+ * Leafs limit their connections, so a VM reaches into other regions at one leaf
+ * of each service, chosen by rendezvous hashing: the VMs spread evenly.
+ */
+static void
+prefer_remote(tier_t *tier, tier_service_t *service)
+{
+	tier_leaf_t *leaf, *best = NULL;
+	uint64_t best_hash = 0;
+
+	LIST_FOREACH(leaf, &service->leafs, in_service)
+	{
+		uint64_t hash =
+		    hash_pair(tier->options.seed, hash_text(leaf->entry.id));
+
+		leaf->is_preferred = false;
+		if (leaf->distance != 2 || leaf->entry.is_draining ||
+		    (best != NULL && hash < best_hash))
+			continue;
+		best = leaf;
+		best_hash = hash;
+	}
+	if (best != NULL)
+		best->is_preferred = true;
+}
+
+/* Divides each leaf's connections among the VMs. */
+void
+tier_update_limits(tier_t *tier)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, tier->leafs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		tier_leaf_t *leaf = value;
+		int share = (leaf->service->connections - CONNECTION_SLACK) /
+			    tier->vm_count;
+
+		leaf->limit = CLAMP(
+		    tier->is_settling ? share / 2 : share, 1, LEAF_LIMIT_MOST);
+	}
+	g_hash_table_iter_init(&iter, tier->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		prefer_remote(tier, value);
+}
+
+void
+tier_set_directory(tier_t *tier, int64_t now_us, const directory_t *directory)
+{
+	GHashTable *named = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *gone = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	if (directory->table != NULL)
+		apply_table(tier, directory->table);
+	for (guint i = 0; i < directory->leafs->len; i++) {
+		leaf_entry_t *entry =
+		    &g_array_index(directory->leafs, leaf_entry_t, i);
+
+		g_hash_table_add(named, entry->id);
+		apply_leaf(tier, now_us, entry);
+	}
+	g_hash_table_iter_init(&iter, tier->leafs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!g_hash_table_contains(
+			named, ((tier_leaf_t *)value)->entry.id))
+			g_ptr_array_add(gone, value);
+	for (guint i = 0; i < gone->len; i++) {
+		tier_leaf_t *leaf = g_ptr_array_index(gone, i);
+
+		log_leaf(tier, &leaf->entry, "gone");
+		remove_leaf(tier, leaf);
+	}
+	log_leafs(tier);
+	g_ptr_array_unref(gone);
+	g_hash_table_unref(named);
+	tier->vm_count = MAX(directory->vm_count, 1);
+	tier_update_limits(tier);
+	tier->due_us = 0;
+}
--- /dev/null
+++ b/src/tier_private.h
@@ -0,0 +1,119 @@
+/**
+ * @file tier_private.h
+ * What the modules of the tier share: requests, their parts, and the calls
+ * between the floors. tier.c and tier_answers.c call part.c, never the reverse.
+ */
+#ifndef TIER_PRIVATE_H
+#define TIER_PRIVATE_H
+
+#include "tier.h"
+
+#define RETURN_MARGIN_US 8000 /* processing here and on the way back */
+
+typedef enum part_state {
+	PART_WAITING, /* for a free connection */
+	PART_SENT,
+	PART_DONE,
+	PART_FAILED
+} part_state_t;
+
+struct tier_part {
+	TAILQ_ENTRY(tier_part) in_queue;
+	tier_request_t *request;
+	tier_service_t *service;
+	part_state_t state;
+	bool is_queued;
+	int queue_rank; /* of the queue that it waits in */
+	int sent_count; /* attempts that may have reached a leaf */
+	int open_count; /* attempts without an outcome */
+	int restart_count;
+	bool may_have_run; /* an attempt ended without the leaf's word */
+	int64_t hedge_us;
+	reach_exclude_t tried;
+};
+
+/** What an answer to an attempt means for its request. */
+typedef enum part_result {
+	PART_GOES_ON,
+	PART_IS_DONE,
+	PART_HAS_ANSWER, /* the leaf's failure, to be passed on as it is */
+	PART_HAS_FAILED
+} part_result_t;
+
+/** What is remembered of a route from one request to the next. */
+typedef struct route_state {
+	kind_belief_t kind;
+	int patience_votes;
+	int credit_count;
+	int64_t *credits; /* of a weighted split */
+} route_state_t;
+
+struct tier_request {
+	TAILQ_ENTRY(tier_request) in_tier;
+	tier_t *tier;
+	const route_t *route;
+	route_table_t *table; /* keeps the route */
+	route_state_t *state;
+	tier_ask_t ask;
+	void *caller;
+	int rank;
+	int part_count, done_count, failed_count;
+	tier_part_t *parts;
+	bool may_have_run, is_ended;
+	int extra_count;
+	int64_t due_us, stop_us, late_us, deadline_us;
+	gather_t *gather;
+	GPtrArray *stamps;
+};
+
+struct tier {
+	tier_options_t options;
+	tier_shell_t shell;
+	gsl_rng *random;
+	route_table_t *table;
+	caller_limits_t limits;
+	int vm_count;
+	GHashTable *services; /* name -> tier_service_t */
+	GHashTable *leafs;    /* id -> tier_leaf_t */
+	GHashTable *routes;   /* name -> route_state_t */
+	GHashTable *rtts;     /* zone -> int64_t */
+	TAILQ_HEAD(, tier_request) requests, ended;
+	TAILQ_HEAD(, tier_attempt) attempts;
+	int request_count, waiting_count;
+	int64_t sweep_us, stopping_us;
+	int64_t due_us; /* no request is due before */
+	int64_t begun_us;
+	int changed_leafs; /* by the directory that is being applied */
+	bool is_settling;  /* the VM's connections of before may linger */
+};
+
+/* part.c */
+void part_queue(tier_part_t *part, int rank);
+void part_unqueue(tier_part_t *part);
+void part_start(tier_part_t *part, int64_t now_us, bool is_extra);
+void part_hedge(tier_part_t *part, int64_t now_us);
+void part_fail(tier_part_t *part);
+tier_part_t *part_get_next_waiting(tier_service_t *service);
+void part_drop_attempt(tier_t *tier, tier_attempt_t *attempt);
+part_result_t part_handle_answer(tier_t *tier, int64_t now_us,
+    tier_attempt_t *attempt, const leaf_answer_t *answer);
+
+/* tier_leafs.c */
+tier_service_t *tier_find_service(tier_t *tier, const char *name);
+void tier_update_limits(tier_t *tier);
+
+/* tier_answers.c */
+void tier_settle(tier_request_t *request, int64_t now_us);
+void tier_end_request(tier_request_t *request);
+void tier_free_ended(tier_t *tier);
+void tier_finish_forward(
+    tier_request_t *request, int64_t now_us, const leaf_answer_t *leaf_answer);
+void tier_finish_gather(tier_request_t *request, int64_t now_us);
+void tier_finish_unserved(
+    tier_request_t *request, int64_t now_us, bool is_late);
+void tier_answer_own(tier_t *tier, void *caller, int status,
+    int64_t retry_after_us, const char *reason);
+bool tier_is_enough(const tier_request_t *request);
+void tier_log_end(tier_request_t *request, int64_t now_us, const char *outcome);
+
+#endif
