--- a/src/http.c
+++ b/src/http.c
@@ -91,8 +91,8 @@
 static bool
 is_head_too_large(const http_message_t *message)
 {
-	size_t framing = START_LINE_BYTES +
-			 message->headers->len * HEADER_FRAMING_BYTES;
+	size_t framing =
+	    START_LINE_BYTES + message->headers->len * HEADER_FRAMING_BYTES;
 
 	return message->text->len + framing > message->head_bytes_max;
 }
--- a/src/metrics_list.h
+++ b/src/metrics_list.h
@@ -71,3 +71,19 @@
     "calls to the platform's store without a usable answer")
 METRIC(METRIC_LOG_DROPPED, "log_dropped_total",
     "log lines dropped because their reader or their rate was too slow")
+#ifndef HISTOGRAM
+#define HISTOGRAM(name, text, help)
+#endif
+HISTOGRAM(HISTOGRAM_TIER_RANK_0, "tier_request_rank0_seconds",
+    "time to the answer of requests of rank 0, the most urgent")
+HISTOGRAM(HISTOGRAM_TIER_RANK_1, "tier_request_rank1_seconds",
+    "time to the answer of requests of rank 1")
+HISTOGRAM(HISTOGRAM_TIER_RANK_2, "tier_request_rank2_seconds",
+    "time to the answer of requests of rank 2")
+HISTOGRAM(HISTOGRAM_TIER_RANK_3, "tier_request_rank3_seconds",
+    "time to the answer of requests of rank 3 and below")
+HISTOGRAM(HISTOGRAM_TIER_LEAF, "tier_leaf_seconds",
+    "time from an attempt's start to its leaf's answer")
+HISTOGRAM(HISTOGRAM_TIER_STORE, "tier_store_seconds",
+    "time of calls to the platform's store, but for watches")
+#undef HISTOGRAM
--- a/src/part.c
+++ b/src/part.c
@@ -85,6 +85,8 @@
 	attempt->caller = NULL;
 }
 
+static const char BUSY[] = "all other leafs are busy";
+
 static bool
 take_budget(tier_part_t *part, int64_t now_us)
 {
@@ -116,7 +118,7 @@
 	case REACH_NONE:
 		return "no other leaf can be used";
 	case REACH_BUSY:
-		return "all other leafs are busy";
+		return BUSY;
 	case REACH_FOUND:
 		break;
 	}
@@ -255,6 +257,7 @@
 
 	switch (answer->outcome) {
 	case OUTCOME_ANSWERED:
+		metric_observe(HISTOGRAM_TIER_LEAF, now_us - attempt->sent_us);
 		note_latency(leaf->service, now_us - attempt->sent_us);
 		belief_note_answer(attempt->kind, &leaf->belief, now_us,
 		    *leaf->rtt_us, now_us - attempt->sent_us);
@@ -319,6 +322,16 @@
 	return false;
 }
 
+/* A retry that finds all other leafs busy waits for one, within the budget. */
+static bool
+queue_retry(tier_part_t *part, int64_t now_us)
+{
+	if (!take_budget(part, now_us))
+		return false;
+	part_queue(part, part->request->rank);
+	return true;
+}
+
 /* The part's attempt failed: another leaf, or the end of the part. */
 static part_result_t
 retry_part(tier_part_t *part, int64_t now_us, const leaf_answer_t *answer)
@@ -343,6 +356,8 @@
 		} else {
 			const char *why_not = send_extra(part, now_us, false);
 
+			if (why_not == BUSY && queue_retry(part, now_us))
+				why_not = NULL;
 			log_retry(part, why_not);
 			if (why_not == NULL)
 				return PART_GOES_ON;
--- a/src/plantainarch.h
+++ b/src/plantainarch.h
@@ -78,9 +78,19 @@
 	METRIC_COUNT
 } metric_t;
 
+typedef enum metric_histogram {
+#define METRIC(name, text, help)
+#define HISTOGRAM(name, text, help) name,
+#include "metrics_list.h"
+#undef METRIC
+	HISTOGRAM_COUNT
+} metric_histogram_t;
+
 void metric_add(metric_t metric, int64_t amount); /* any thread */
 void metric_set(metric_t metric, int64_t value);  /* any thread */
 int64_t metric_get(metric_t metric);
+void metric_observe(
+    metric_histogram_t histogram, int64_t value_us); /* any thread */
 char *metric_format_text(void); /* Prometheus text format; free with g_free */
 void metric_print_catalogue(void); /* all metrics as a Markdown table */
 
--- a/src/source.c
+++ b/src/source.c
@@ -525,6 +525,8 @@
 	int64_t now_us = clock_get_us();
 
 	feed->is_in_call = false;
+	if (feed->step != STEP_WATCHING)
+		metric_observe(HISTOGRAM_TIER_STORE, now_us - feed->sent_us);
 	if (status == 410 && feed->step == STEP_WATCHING) {
 		/* The history is gone: what changed shows in a new list. */
 		feed->is_listed = false;
--- a/src/tier_answers.c
+++ b/src/tier_answers.c
@@ -23,6 +23,8 @@
 	    is_plain ? LOG_TIER_SERVED : LOG_TIER_SERVED_OTHERWISE;
 	char text[512];
 
+	metric_observe(
+	    HISTOGRAM_TIER_RANK_0 + (metric_histogram_t)request->rank, took_us);
 	if (!log_is_enabled(event))
 		return;
 	snprintf(text, sizeof(text),
--- a/tests/support/tier_world.c
+++ b/tests/support/tier_world.c
@@ -194,6 +194,8 @@
 		job->outcome = OUTCOME_LEAF_FAILED;
 	if (is_faulty && world->options.fault == FAULT_MUTE && draw < 0.4)
 		job->outcome = OUTCOME_BROKEN;
+	if (is_faulty && world->options.fault == FAULT_LOSE && draw < 0.08)
+		job->outcome = OUTCOME_BROKEN;
 	leaf->busy++;
 	job->call->runs++;
 	add_event(world, get_end(world, leaf, (int64_t)work), WORLD_FINISH, 0,
--- a/tests/support/tier_world.h
+++ b/tests/support/tier_world.h
@@ -18,7 +18,8 @@
 	FAULT_SLOW,   /* eight times the work */
 	FAULT_SHED,   /* refuses 45 of 100 requests without running them */
 	FAULT_ERROR,  /* fails 40 of 100 requests */
-	FAULT_MUTE    /* runs the request, its answer is lost */
+	FAULT_MUTE,   /* runs the request, 40 of 100 answers are lost */
+	FAULT_LOSE    /* runs the request, 8 of 100 answers are lost */
 } world_fault_t;
 
 /** One kind of request in an open loop. */
