--- /dev/null
+++ b/src/command_explain_request.c
@@ -0,0 +1,185 @@
+/**
+ * @file command_explain_request.c
+ * Prints what the logs of one or more VMs say of one request, leaf or
+ * configuration, in order of time.
+ */
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "command.h"
+
+#define LINE_BYTES_MAX 65536
+
+/** What is looked for: the value of one key, or its text. */
+typedef struct subject {
+	const char *key, *text;
+	bool is_number;
+} subject_t;
+
+typedef struct log_line {
+	int64_t time_us;
+	json_t *fields;
+	const char *file;
+} log_line_t;
+
+static bool
+is_match(const json_t *fields, const subject_t *subject)
+{
+	const json_t *value = json_object_get(fields, subject->key);
+
+	if (subject->is_number)
+		return json_is_integer(value) &&
+		       json_integer_value(value) ==
+			   strtoll(subject->text, NULL, 10);
+	return json_is_string(value) &&
+	       strcmp(json_string_value(value), subject->text) == 0;
+}
+
+/* Lines may have a prefix, as collectors write one. */
+static void
+read_line(char *text, const char *file, const subject_t *subject, GArray *lines)
+{
+	const char *start = strchr(text, '{');
+	log_line_t line = { .file = file };
+
+	if (start == NULL)
+		return;
+	line.fields = json_loads(start, JSON_DISABLE_EOF_CHECK, NULL);
+	if (line.fields == NULL || !is_match(line.fields, subject)) {
+		json_decref(line.fields);
+		return;
+	}
+	line.time_us =
+	    json_integer_value(json_object_get(line.fields, "time_us"));
+	g_array_append_val(lines, line);
+}
+
+static bool
+read_file(const char *path, const subject_t *subject, GArray *lines,
+    error_info_t *error)
+{
+	FILE *file = strcmp(path, "-") == 0 ? stdin : fopen(path, "r");
+	char text[LINE_BYTES_MAX];
+
+	if (file == NULL)
+		return error_set(error, ERROR_NOT_FOUND, "read logs", path,
+		    "the file can't be opened; give log files or - for "
+		    "standard input");
+	while (fgets(text, sizeof(text), file) != NULL)
+		read_line(text, path, subject, lines);
+	if (file != stdin)
+		fclose(file);
+	return true;
+}
+
+static gint
+compare_lines(gconstpointer left, gconstpointer right)
+{
+	const log_line_t *a = left, *b = right;
+
+	return a->time_us < b->time_us ? -1 : a->time_us > b->time_us;
+}
+
+static void
+print_line(const log_line_t *line, int64_t first_us)
+{
+	const char *key;
+	json_t *value;
+
+	printf("%+10.1f ms  %s", (double)(line->time_us - first_us) / 1000,
+	    json_string_value(json_object_get(line->fields, "name")));
+	json_object_foreach(line->fields, key, value)
+	{
+		char *text;
+
+		if (strcmp(key, "time_us") == 0 || strcmp(key, "event") == 0 ||
+		    strcmp(key, "name") == 0)
+			continue;
+		text = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+		printf(" %s=%s", key, text);
+		free(text);
+	}
+	printf(" (%s)\n", line->file);
+}
+
+static void
+print_lines(GArray *lines, bool is_json)
+{
+	for (guint i = 0; i < lines->len; i++) {
+		const log_line_t *line = &g_array_index(lines, log_line_t, i);
+
+		if (is_json) {
+			json_dumpf(line->fields, stdout, JSON_COMPACT);
+			printf("\n");
+		} else
+			print_line(
+			    line, g_array_index(lines, log_line_t, 0).time_us);
+		json_decref(line->fields);
+	}
+}
+
+static int
+explain(const subject_t *subject, struct arg_file *files, bool is_json)
+{
+	GArray *lines = g_array_new(FALSE, FALSE, sizeof(log_line_t));
+	error_info_t error = { 0 };
+	bool is_good = true;
+	int code = 0;
+
+	for (int i = 0; i < files->count && is_good; i++)
+		is_good = read_file(files->filename[i], subject, lines, &error);
+	if (is_good && files->count == 0)
+		is_good = read_file("-", subject, lines, &error);
+	if (!is_good)
+		code = command_report("explain-request", &error);
+	else if (lines->len == 0) {
+		fprintf(stderr,
+		    "plantainarch explain-request: no line with %s \"%s\"; "
+		    "plain successes are only logged at level info\n",
+		    subject->key, subject->text);
+		code = 1;
+	}
+	g_array_sort(lines, compare_lines);
+	print_lines(lines, is_json);
+	g_array_unref(lines);
+	return code;
+}
+
+int
+command_explain_request(int argc, char **argv)
+{
+	struct arg_str *id = arg_str0(NULL, NULL, "ID", "the id of a request");
+	struct arg_str *leaf = arg_str0(NULL, "leaf", "ID", "a leaf instead");
+	struct arg_str *version =
+	    arg_str0(NULL, "config", "VERSION", "a configuration instead");
+	struct arg_file *files = arg_filen(NULL, "log", "FILE", 0, 1024,
+	    "logs of the VMs; standard input if none is named");
+	struct arg_lit *json =
+	    arg_lit0(NULL, "json", "print the lines as JSON");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { id, leaf, version, files, json, help, end };
+	int code = command_parse(argc, argv, table, help, end,
+	    "Prints what the logs say of one request, in order of time.");
+	subject_t subject = { .key = "id" };
+
+	if (code < 0 && id->count + leaf->count + version->count != 1) {
+		fprintf(stderr, "plantainarch explain-request: give one of "
+				"ID, --leaf and --config\n");
+		code = 2;
+	}
+	if (code < 0) {
+		if (leaf->count > 0)
+			subject = (subject_t){ "leaf", leaf->sval[0], false };
+		else if (version->count > 0)
+			subject =
+			    (subject_t){ "version", version->sval[0], true };
+		else
+			subject.text = id->sval[0];
+		code = explain(&subject, files, json->count > 0);
+	}
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return code;
+}
--- a/src/events.h
+++ b/src/events.h
@@ -105,5 +105,7 @@
     "a failed attempt was not repeated, and why")
 LOG_EVENT(624, LOG_TIER_RETRIED, G_LOG_LEVEL_MESSAGE,
     "a failed attempt was repeated at another leaf, or waits for one")
+LOG_EVENT(625, LOG_TIER_MISSING, G_LOG_LEVEL_MESSAGE,
+    "a part that an answer went without, and what it waited for")
 LOG_EVENT(690, LOG_LINES_DROPPED, G_LOG_LEVEL_WARNING,
     "log lines were dropped; the field counts them")
--- a/src/main.c
+++ b/src/main.c
@@ -28,6 +28,8 @@
 	{ "status", command_status, "show one VM or the whole fleet" },
 	{ "explain", command_explain,
 	    "show which default or exception decides" },
+	{ "explain-request", command_explain_request,
+	    "tell from logs what happened to a request" },
 	{ "settings", command_settings,
 	    "show, change and compare the fleet's settings" },
 	{ "load", command_load,
@@ -68,7 +70,7 @@
 		      "over many shards. Commands:\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
 		fprintf(
-		    file, "  %-9s %s\n", commands[i].name, commands[i].help);
+		    file, "  %-15s %s\n", commands[i].name, commands[i].help);
 	fprintf(file, "\n'plantainarch COMMAND --help' tells more. Exit codes: "
 		      "0 success, 1 failure, 2 usage.\n");
 }
--- a/src/part.c
+++ b/src/part.c
@@ -204,8 +204,8 @@
 	}
 }
 
-static tier_attempt_t *
-find_attempt(tier_t *tier, const tier_part_t *part)
+tier_attempt_t *
+part_find_attempt(tier_t *tier, const tier_part_t *part)
 {
 	tier_attempt_t *attempt;
 
@@ -219,7 +219,7 @@
 part_hedge(tier_part_t *part, int64_t now_us)
 {
 	tier_t *tier = part->request->tier;
-	tier_attempt_t *open = find_attempt(tier, part);
+	tier_attempt_t *open = part_find_attempt(tier, part);
 
 	part->hedge_us = now_us + HEDGE_AGAIN_US;
 	if (open != NULL)
--- a/src/plantainarch.h
+++ b/src/plantainarch.h
@@ -845,6 +845,7 @@
 int command_load(int argc, char **argv);
 int command_keys(int argc, char **argv);
 int command_tier(int argc, char **argv);
+int command_explain_request(int argc, char **argv);
 char *command_read_file(const char *path, size_t *length,
     error_info_t *error); /* free with g_free */
 int command_report(const char *command,
--- a/src/tier_answers.c
+++ b/src/tier_answers.c
@@ -7,7 +7,8 @@
 
 #include "tier_private.h"
 
-#define RETRY_AFTER_US 300000 /* without a better estimate */
+#define MISSING_LINES_MOST 3	  /* of one request */
+#define RETRY_AFTER_US	   300000 /* without a better estimate */
 
 /* One line for each request that did not simply succeed in time. */
 void
@@ -65,6 +66,42 @@
 	       get_share(request) >= request->route->least_share;
 }
 
+static void
+log_part(const tier_part_t *part, int64_t now_us)
+{
+	static const char *const states[] = { "waiting", "sent", "done",
+		"failed" };
+	const tier_request_t *request = part->request;
+	const tier_attempt_t *open = part_find_attempt(request->tier, part);
+	char text[384];
+
+	snprintf(text, sizeof(text),
+	    "\"id\":\"%s\",\"service\":\"%s\",\"state\":\"%s\",\"tried\":%d,"
+	    "\"leaf\":\"%s\",\"queue\":%d,\"after_us\":%" G_GINT64_FORMAT,
+	    request->ask.id, part->service->name, states[part->state],
+	    part->tried.count, open != NULL ? open->leaf->entry.id : "",
+	    part->service->waiting_count, now_us - request->ask.arrived_us);
+	request->tier->shell.log(
+	    request->tier->shell.context, LOG_TIER_MISSING, text);
+}
+
+/* Names the first parts that are not in. */
+static void
+log_missing(const tier_request_t *request, int64_t now_us)
+{
+	int lines = 0;
+
+	if (!log_is_enabled(LOG_TIER_MISSING))
+		return;
+	for (int i = 0; i < request->part_count; i++) {
+		if (request->parts[i].state == PART_DONE)
+			continue;
+		if (++lines > MISSING_LINES_MOST)
+			return;
+		log_part(&request->parts[i], now_us);
+	}
+}
+
 /*
  * A refusal promises that nothing has run. What may have run ends with a
  * status that promises nothing.
@@ -74,6 +111,7 @@
 {
 	int status = request->may_have_run ? (is_late ? 504 : 502) : 503;
 
+	log_missing(request, now_us);
 	metric_add(status == 503 ? METRIC_TIER_REFUSED : METRIC_TIER_FAILED, 1);
 	tier_log_end(request, now_us,
 	    status == 503 ? "refused" : (is_late ? "late" : "failed"));
@@ -97,8 +135,10 @@
 
 	gather_finish(request->gather, records);
 	metric_add(METRIC_TIER_SERVED, 1);
-	if (answer.missing > 0)
+	if (answer.missing > 0) {
 		metric_add(METRIC_TIER_PARTIAL, 1);
+		log_missing(request, now_us);
+	}
 	tier_log_end(request, now_us, answer.missing > 0 ? "partial" : "whole");
 	tier->shell.answer(tier->shell.context, request->caller, &answer);
 	g_string_free(records, TRUE);
--- a/src/tier_private.h
+++ b/src/tier_private.h
@@ -95,6 +95,8 @@
 void part_fail(tier_part_t *part);
 tier_part_t *part_get_next_waiting(tier_service_t *service);
 void part_drop_attempt(tier_t *tier, tier_attempt_t *attempt);
+tier_attempt_t *part_find_attempt(
+    tier_t *tier, const tier_part_t *part); /* an open one */
 part_result_t part_handle_answer(tier_t *tier, int64_t now_us,
     tier_attempt_t *attempt, const leaf_answer_t *answer);
 
--- a/tests/cases/catalogue.sh
+++ b/tests/cases/catalogue.sh
@@ -6,6 +6,6 @@
 	grep -q "\b$name\b" src/*.c || echo "$name is never used"
 done
 "$PA_BUILD/plantainarch" nonsense 2>&1; echo "exit $?"
-for command in serve tier check search order status explain settings load keys events metrics plugins version; do
+for command in serve tier explain-request check search order status explain settings load keys events metrics plugins version; do
 	"$PA_BUILD/plantainarch" $command --help >/dev/null 2>&1 || echo "$command has no help"
 done
