Know the VMs before anything is shared with them; bound callers' connections

Ruled out before: the pace of restarts, leafs' recovery. The pattern 'all VMs restart and do not know each other yet' checks it without network. Callers' connections are bounded by the longest idle one; 100 Continue is said once.

--- a/src/entrance.c
+++ b/src/entrance.c
@@ -27,6 +27,7 @@
 	bool is_working;  /* a request has no answer yet */
 	bool is_closing;  /* closed after the answer */
 	bool is_ended;
+	bool is_continued; /* "100 Continue" was said for this request */
 } caller_link_t;
 
 struct entrance {
@@ -35,7 +36,7 @@
 	tier_t *tier;
 	int fd;
 	LIST_HEAD(, caller_link) links;
-	int busy_count, ended_count;
+	int link_count, busy_count, ended_count;
 	bool is_closing;
 	int64_t sweep_us;
 	GString *scratch;
@@ -74,6 +75,7 @@
 destroy_link(caller_link_t *link)
 {
 	LIST_REMOVE(link, in_entrance);
+	link->entrance->link_count--;
 	if (link->is_ended)
 		link->entrance->ended_count--;
 	if (link->is_working)
@@ -130,6 +132,22 @@
 	return &((caller_link_t *)caller)->message;
 }
 
+/* Descriptors are limited; a connection without a request is given up first. */
+static bool
+close_longest_idle(entrance_t *entrance)
+{
+	caller_link_t *link, *longest = NULL;
+
+	LIST_FOREACH(link, &entrance->links, in_entrance)
+	if (!link->is_working && !link->is_ended && !link->message.is_begun &&
+	    (longest == NULL || link->since_us < longest->since_us))
+		longest = link;
+	if (longest == NULL)
+		return false;
+	destroy_link(longest);
+	return true;
+}
+
 static void
 handle_accept(void *context, int fd, uint32_t events)
 {
@@ -143,6 +161,12 @@
 
 		if (accepted < 0)
 			return;
+		if (entrance->link_count >= CALLER_CONNECTIONS_MAX &&
+		    !close_longest_idle(entrance)) {
+			metric_add(METRIC_TIER_CALLERS_TURNED_AWAY, 1);
+			close(accepted);
+			return;
+		}
 		limits = tier_get_limits(entrance->tier);
 		link = g_new0(caller_link_t, 1);
 		link->entrance = entrance;
@@ -152,6 +176,7 @@
 		    limits->body_bytes);
 		link->stream =
 		    stream_adopt(entrance->loop, accepted, &stream_hooks, link);
+		entrance->link_count++;
 		link->rtt_us = stream_get_rtt_us(link->stream);
 		LIST_INSERT_HEAD(&entrance->links, link, in_entrance);
 	}
@@ -294,11 +319,12 @@
 		link->since_us = clock_get_us();
 	switch (http_message_feed(&link->message, data, length, &used)) {
 	case HTTP_PARTIAL:
-		if (link->message.has_head && link->message.body->len == 0 &&
+		if (link->message.has_head && !link->is_continued &&
 		    http_get_header(&link->message, "expect") != NULL) {
 			static const char go_on[] =
 			    "HTTP/1.1 100 Continue\r\n\r\n";
 
+			link->is_continued = true;
 			stream_write(link->stream, go_on, sizeof(go_on) - 1);
 		}
 		return;
@@ -352,6 +378,7 @@
 
 	link->is_ended = false;
 	link->is_old = true;
+	link->is_continued = false;
 	link->entrance->ended_count--;
 	if (link->is_closing) {
 		destroy_link(link);
--- a/src/metrics_list.h
+++ b/src/metrics_list.h
@@ -69,6 +69,8 @@
     "calls to the platform's store")
 METRIC(METRIC_TIER_STORE_FAILURES, "tier_store_failures_total",
     "calls to the platform's store without a usable answer")
+METRIC(METRIC_TIER_CALLERS_TURNED_AWAY, "tier_callers_turned_away_total",
+    "callers' connections closed because there were too many")
 METRIC(METRIC_LOG_DROPPED, "log_dropped_total",
     "log lines dropped because their reader or their rate was too slow")
 #ifndef HISTOGRAM
--- a/src/source.c
+++ b/src/source.c
@@ -410,7 +410,11 @@
 	source_t *source = feed->source;
 
 	if (feed->feed == FEED_VMS) {
-		if (now_us >= source->beat_us)
+		/* The VMs of before a restart are known before anything is
+		 * shared with them. */
+		if (!source->is_vm_known)
+			send_list(feed);
+		else if (now_us >= source->beat_us)
 			send_beat(feed, now_us);
 		else if (!source->is_leaving)
 			send_list(feed);
@@ -448,7 +452,7 @@
 		source->beat++;
 	if (status == 409 || status == 404)
 		source->beat_us = now_us + BACKOFF_FIRST_US;
-	rest(feed, now_us, source->is_vm_known ? 0 : VM_POLL_FIRST_US);
+	rest(feed, now_us, source->beat > 1 ? 0 : VM_POLL_FIRST_US);
 }
 
 static int64_t
@@ -464,7 +468,7 @@
 		return (
 		    int64_t)((double)settings->drain_us * LEAFS_GATHER_PART);
 	default:
-		return VM_POLL_US;
+		return feed->source->beat == 0 ? 0 : VM_POLL_US;
 	}
 }
 
--- a/src/tier.h
+++ b/src/tier.h
@@ -85,7 +85,7 @@
 typedef struct directory {
 	route_table_t *table; /* NULL: no configuration known */
 	GArray *leafs;	      /* leaf_entry_t */
-	int vm_count;	      /* VMs of the tier that live, this one included */
+	int vm_count;	      /* VMs of the tier that live; 0: not known */
 } directory_t;
 
 directory_t *directory_create(
--- a/src/tier_leafs.c
+++ b/src/tier_leafs.c
@@ -269,7 +269,8 @@
 	log_leafs(tier);
 	g_ptr_array_unref(gone);
 	g_hash_table_unref(named);
-	tier->vm_count = MAX(directory->vm_count, 1);
+	if (directory->vm_count > 0)
+		tier->vm_count = directory->vm_count;
 	tier_update_limits(tier);
 	tier->due_us = 0;
 }
--- a/src/tier_process.c
+++ b/src/tier_process.c
@@ -18,6 +18,7 @@
 #include "command.h"
 #include "tier_shell.h"
 
+#define VMS_UNKNOWN	 100	 /* until the list is read: small shares */
 #define SETTINGS_POLL_US 1000000 /* the file may change without a signal */
 #define LOG_FLUSH_US	 100000
 #define FREEZE_US	 1000000 /* a wait that overran so far is logged */
@@ -188,7 +189,7 @@
 		.retry_ratio = settings->retry_ratio,
 		.retry_slack = settings->retry_slack,
 		.retry_window_us = settings->retry_window_us,
-		.vm_count_first = 8,
+		.vm_count_first = VMS_UNKNOWN,
 		.seed = hash_text(settings->id) };
 	tier_shell_t shell = { traffic, shell_send, shell_cancel, shell_answer,
 		shell_forget, log_write_fields };
--- a/tests/support/tier_world.c
+++ b/tests/support/tier_world.c
@@ -22,6 +22,7 @@
 #define BURST_BEGIN_US	 4000000
 #define BURST_END_US	 7000000
 #define DRAIN_US	 4000000
+#define COUNT_UNKNOWN	 100 /* as the process assumes */
 #define PATIENCE_LIST_US 1000000
 
 typedef enum world_event_type {
@@ -416,8 +417,8 @@
 static directory_t *
 make_directory(const tier_world_t *world)
 {
-	directory_t *directory =
-	    directory_create(world->table, world->options.vms);
+	directory_t *directory = directory_create(world->table,
+	    world->options.is_count_unknown ? 0 : world->options.vms);
 
 	for (guint i = 0; i < world->leafs->len; i++) {
 		const world_leaf_t *leaf = g_ptr_array_index(world->leafs, i);
@@ -531,7 +532,9 @@
 		.retry_ratio = 0.2,
 		.retry_slack = 58,
 		.retry_window_us = 10000000,
-		.vm_count_first = world->options.vms,
+		.vm_count_first = world->options.is_count_unknown
+				      ? COUNT_UNKNOWN
+				      : world->options.vms,
 		.seed = world->options.seed * 100 + (uint64_t)number };
 	tier_shell_t shell = { vm, shell_send, shell_cancel, shell_answer,
 		shell_forget, shell_log };
--- a/tests/support/tier_world.h
+++ b/tests/support/tier_world.h
@@ -39,8 +39,9 @@
 	double fault_share; /* of all leafs */
 	int fault_shard;    /* all leafs of this shard instead; -1: none */
 	int64_t fault_begin_us, fault_end_us;
-	int drain_leafs;      /* so many drain at 4 s */
-	bool is_unrepeatable; /* "/fetch/" is not idempotent */
+	int drain_leafs;       /* so many drain at 4 s */
+	bool is_count_unknown; /* the VMs do not know how many they are */
+	bool is_unrepeatable;  /* "/fetch/" is not idempotent */
 } tier_world_options_t;
 
 /** What callers of one flow got. */
--- a/tests/tier_load.c
+++ b/tests/tier_load.c
@@ -139,6 +139,13 @@
 		.drain_leafs = 8,
 		.fault_shard = -1 },
 	    { 0.75, 0.75, 0.95 }, 0 },
+	{ "all VMs restart and do not know each other yet",
+	    { .flows = FLOWS_ALL,
+		.flow_count = 3,
+		.has_pauses = true,
+		.is_count_unknown = true,
+		.fault_shard = -1 },
+	    { 0.75, 0.75, 0.95 }, 0 },
 	{ "requests that may not repeat, answers lost",
 	    { .flows = { { "/fetch/", 60, 0 } },
 		.flow_count = 1,
@@ -214,6 +221,11 @@
 	    "extra requests", totals->extra);
 	errors += check(totals->most_connections <= 110,
 	    "connections to one leaf", totals->most_connections);
+	/* Leafs still count the connections of before: one each fits twice. */
+	if (options.is_count_unknown)
+		errors += check(totals->most_connections <= options.vms,
+		    "connections while the count is unknown",
+		    totals->most_connections);
 	tier_world_destroy(world);
 	return errors;
 }
