--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -103,5 +103,33 @@
 step "Summary"
 check "no invariant was violated" test "$(fleet_sum_metric invariant_violations_total 2)" -eq 0
 pa status $(fleet_callers 2)
+fleet_end 2>/dev/null
+
+. stand-ins/tier.sh
+step "The tier on a platform: a search with its parts, a forwarded request"
+tier_begin "$scratch/tier" "$((${PA_PORT:-21000} + 400))"
+trap 'tier_end; fleet_end; rm -rf "$scratch"' EXIT
+tier_start 1; tier_start 2
+tier_call GET /list/route-12 demo-1 -D "$scratch/parts" -o /dev/null
+tr -d '\r' <"$scratch/parts" | grep -iE '^HTTP|missing-parts'
+check "the search names the parts of all 6 shards" test "$(grep -io 'shard-[0-9]*\.' "$scratch/parts" | sort -u | wc -l)" -eq 6
+check "a request is forwarded to one leaf" test "$(tier_call GET /fetch/invoice-7 demo-2 -o /dev/null -w '%{http_code}')" = 200
+
+step "The tier: a configuration in force, a drained leaf, a stop under load"
+check "the new route is not there yet" test "$(tier_call GET /late/x demo-3 -o /dev/null -w '%{http_code}')" = 404
+tier_control '/configuration?version=2' >/dev/null
+tier_control '/leaf?id=i-0&state=draining' >/dev/null
+sleep 1.2
+check "the new route is served" test "$(tier_call GET /late/x demo-4 -o /dev/null -w '%{http_code}')" = 200
+drained=$(tier_control /stats | grep -o 'drained [0-9]*')
+"$PA_BUILD/caller" --targets "$(tier_callers 2)" --seconds 2 --rate 60 >"$scratch/tier-load" &
+load=$!
+sleep 0.5
+kill -TERM "$tier_pid_2"
+wait $load
+cat "$scratch/tier-load"
+check "no request was cut or mixed" grep -q "wrong 0 cut 0" "$scratch/tier-load"
+check "every search was whole" grep -q "partial 0 refused 0 failed 0" "$scratch/tier-load"
+check "the drained leaf got nothing" test "$(tier_control /stats | grep -o 'drained [0-9]*')" = "$drained"
 if [ $failures -eq 0 ]; then echo "demo: everything held"; else echo "demo: $failures checks failed"; fi
 [ $failures -eq 0 ]
--- a/src/events.h
+++ b/src/events.h
@@ -107,5 +107,7 @@
     "a failed attempt was repeated at another leaf, or waits for one")
 LOG_EVENT(625, LOG_TIER_MISSING, G_LOG_LEVEL_MESSAGE,
     "a part that an answer went without, and what it waited for")
+LOG_EVENT(626, LOG_TIER_REFUSED, G_LOG_LEVEL_MESSAGE,
+    "a request was refused before anything was sent: its parts would wait")
 LOG_EVENT(690, LOG_LINES_DROPPED, G_LOG_LEVEL_WARNING,
     "log lines were dropped; the field counts them")
--- a/src/tier.c
+++ b/src/tier.c
@@ -248,6 +248,21 @@
 	return request;
 }
 
+static void
+log_refusal(const tier_request_t *request, int late_count, int64_t wait_us,
+    int64_t left_us)
+{
+	char text[256];
+
+	snprintf(text, sizeof(text),
+	    "\"id\":\"%s\",\"route\":\"%s\",\"parts\":%d,\"late_parts\":%d,"
+	    "\"wait_us\":%" G_GINT64_FORMAT ",\"left_us\":%" G_GINT64_FORMAT,
+	    request->ask.id, request->route->name, request->part_count,
+	    late_count, wait_us, left_us);
+	request->tier->shell.log(
+	    request->tier->shell.context, LOG_TIER_REFUSED, text);
+}
+
 /*
  * Refuses at once what could only be answered late: too many of its parts would
  * wait here longer than the objective leaves. Nothing has been sent.
@@ -273,7 +288,8 @@
 	if (late_count <= spare || most_us == 0)
 		return true;
 	metric_add(METRIC_TIER_REFUSED, 1);
-	tier_log_end(request, now_us, "refused: queues are too long");
+	log_refusal(request, late_count, most_us, limit_us - now_us);
+	tier_log_end(request, now_us, "refused");
 	tier_answer_own(request->tier, request->caller, 503,
 	    MAX(most_us, RETRY_AFTER_LEAST_US), "the queues are too long");
 	tier_end_request(request);
