Run the sanitizers on the tier; lock the log with a POSIX mutex

The address, undefined-behaviour and thread sanitizers now run tier_load, http_framing and the tier's cases. Found: the control loop was not freed at the end; the thread sanitizer can't see GLib's futex mutex, so the log's buffer takes a POSIX one, as the house style has it.

--- a/src/log.c
+++ b/src/log.c
@@ -6,6 +6,7 @@
  * `plantainarch events` prints from the same list.
  */
 #include <fcntl.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -33,13 +34,13 @@
 
 /* Lines on their way to a descriptor that must not block the process. */
 static struct {
-	GMutex lock;
+	pthread_mutex_t lock;
 	int fd;
 	GString *text;
 	int64_t second;
 	int lines, dropped;
 	bool is_begun;
-} buffer;
+} buffer = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
 static GLogLevelFlags lowest_level = G_LOG_LEVEL_MESSAGE;
 static bool writes_json = false;
@@ -132,9 +133,9 @@
 {
 	if (!buffer.is_begun)
 		return;
-	g_mutex_lock(&buffer.lock);
+	pthread_mutex_lock(&buffer.lock);
 	flush_buffer();
-	g_mutex_unlock(&buffer.lock);
+	pthread_mutex_unlock(&buffer.lock);
 }
 
 /* Called with the lock held: whether the rate and the room allow a line. */
@@ -187,10 +188,10 @@
 		    ",\"event\":%d,\"name\":\"%s\",\"cut\":true}\n",
 		    now_us, (int)event, info->name);
 	}
-	g_mutex_lock(&buffer.lock);
+	pthread_mutex_lock(&buffer.lock);
 	if (admit_line(now_us, (size_t)length))
 		g_string_append_len(buffer.text, line, length);
-	g_mutex_unlock(&buffer.lock);
+	pthread_mutex_unlock(&buffer.lock);
 }
 
 void
--- a/src/tier_process.c
+++ b/src/tier_process.c
@@ -472,6 +472,7 @@
 	source_destroy(process->source);
 	pages_destroy(process->ready);
 	pages_destroy(process->metrics);
+	loop_destroy(process->loop);
 	return 0;
 }
 
--- a/tests/cases/sanitizers.sh
+++ b/tests/cases/sanitizers.sh
@@ -11,7 +11,11 @@
 }
 export UBSAN_OPTIONS=print_stacktrace=1 TSAN_OPTIONS="suppressions=$PWD/tests/support/tsan.supp"
 check address "-fsanitize=address,undefined" \
+	'$build/tests/http_framing' '$build/tests/tier_load' \
+	"PA_SCRATCH=$PA_SCRATCH/address-tier ASAN_OPTIONS=detect_leaks=0 bash tests/cases/tier_faults.sh | diff - tests/cases/tier_faults.expected" \
+	"PA_SCRATCH=$PA_SCRATCH/address-path ASAN_OPTIONS=detect_leaks=0 bash tests/cases/tier_path.sh | diff - tests/cases/tier_path.expected" \
 	'$build/tests/core_random 1 3 30' '$build/tests/control_random --seeds 2 --seconds 60' \
 	"PA_SCRATCH=$PA_SCRATCH/address-bad ASAN_OPTIONS=detect_leaks=0 bash tests/cases/bad_input.sh | diff - tests/cases/bad_input.expected"
 check thread "-fsanitize=thread" \
+	"PA_SCRATCH=$PA_SCRATCH/thread-store bash tests/cases/tier_store.sh | diff - tests/cases/tier_store.expected" \
 	"PA_SCRATCH=$PA_SCRATCH/thread-outage bash tests/cases/platform_outage.sh | diff - tests/cases/platform_outage.expected"
--- a/tests/support/tier_world.c
+++ b/tests/support/tier_world.c
@@ -89,7 +89,7 @@
 	GSequence *events;
 	uint64_t order;
 	int64_t now_us;
-	GPtrArray *vms, *leafs, *calls;
+	GPtrArray *vms, *leafs, *calls, *jobs;
 	GHashTable *regions;
 	route_table_t *table;
 	world_result_t results[4];
@@ -286,6 +286,7 @@
 	world_call_t *call = attempt->caller;
 	world_job_t *job = g_new0(world_job_t, 1);
 
+	g_ptr_array_add(world->jobs, job);
 	job->attempt = attempt;
 	job->vm = vm;
 	job->call = call;
@@ -298,7 +299,6 @@
 	}
 	if (job->leaf == NULL) {
 		report(world, "sent to a leaf that does not exist", call);
-		g_free(job);
 		return;
 	}
 	job->way_us = job->leaf->zone == vm->zone ? WAY_SAME_US : WAY_REMOTE_US;
@@ -559,6 +559,7 @@
 	world->vms = g_ptr_array_new();
 	world->leafs = g_ptr_array_new();
 	world->calls = g_ptr_array_new_with_free_func(g_free);
+	world->jobs = g_ptr_array_new_with_free_func(g_free);
 	world->regions =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	for (int i = 0; i < 3; i++)
@@ -595,6 +596,7 @@
 	g_ptr_array_unref(world->vms);
 	g_ptr_array_unref(world->leafs);
 	g_ptr_array_unref(world->calls);
+	g_ptr_array_unref(world->jobs);
 	g_hash_table_unref(world->regions);
 	route_table_release(world->table);
 	gsl_rng_free(world->random);
