Refuse an order whose key was used for another order

Cause: a key asked again with another body was answered with the first order's result. A claim now carries the hash of its order's body; another body gets 422 not_run, other_order_by_key, and runs nothing. The case bad_input asks with one key and two bodies: before, 200 with the first result.

--- a/bench/cost.c
+++ b/bench/cost.c
@@ -294,7 +294,7 @@
 			    random, LEDGER_WRITERS)];
 			char key[NAME_BYTES];
 			claim_t claim = { ++request, key, 1, all.now_us,
-				INT64_C(3600000000), 500000 };
+				INT64_C(3600000000), 500000, 0 };
 
 			snprintf(key, sizeof(key), "order-%" G_GUINT64_FORMAT,
 			    request);
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -43,6 +43,7 @@
 	char key[KEY_BYTES];
 	char nonce[24];
 	int try_number;
+	uint64_t body_hash;
 	int64_t issued_us, until_us;
 	int64_t arrived_us, due_us;
 	bool is_applied; /* in the update under way */
@@ -160,6 +161,7 @@
 	change = add_change(
 	    ledger, object, CHANGE_CLAIM, now_us, claim->request, claim->key);
 	change->try_number = claim->try_number;
+	change->body_hash = claim->body_hash;
 	change->issued_us = claim->issued_us;
 	change->until_us =
 	    claim->issued_us + claim->retention_us + CLOCK_SKEW_US;
@@ -386,6 +388,16 @@
 		   json_integer_value(json_object_get(claim, "t"));
 }
 
+/* One key stands for one order; claims of older versions have no hash. */
+static bool
+is_other_body(const json_t *claim, const change_t *change)
+{
+	uint64_t hash =
+	    (uint64_t)json_integer_value(json_object_get(claim, "b"));
+
+	return hash != 0 && change->body_hash != 0 && hash != change->body_hash;
+}
+
 static bool
 apply_claim(
     ledger_t *ledger, object_t *object, change_t *change, bool *needs_read)
@@ -403,12 +415,15 @@
 		status = CLAIM_EXPIRED;
 	} else if (object->bytes > OBJECT_BYTES_MAX) {
 		status = CLAIM_UNAVAILABLE; /* full until claims leave by age */
+	} else if (is_other_body(claim, change)) {
+		status = CLAIM_OTHER_BODY;
 	} else if (state == NULL || is_superseding(claim, state, change)) {
 		json_object_set_new(object->claims, change->key,
-		    json_pack("{s:s, s:s, s:i, s:I, s:I, s:s}", "w",
+		    json_pack("{s:s, s:s, s:i, s:I, s:I, s:s, s:I}", "w",
 			ledger->writer, "n", change->nonce, "t",
 			change->try_number, "i", (json_int_t)change->issued_us,
-			"u", (json_int_t)change->until_us, "s", "claimed"));
+			"u", (json_int_t)change->until_us, "s", "claimed", "b",
+			(json_int_t)change->body_hash));
 		change->is_applied = true;
 		return true;
 	} else if (strcmp(state, "not_run") == 0) {
--- a/src/order.c
+++ b/src/order.c
@@ -59,6 +59,7 @@
 	action->request = order->id;
 	action->issued_us = order->issued_us;
 	action->try_number = order->try_number;
+	action->body_hash = hash_text(order->text);
 	action->retention_us = order->retention_us;
 	action->timeout_us = (order->deadline_us - core->now_us) / 2;
 	g_strlcpy(action->key, order->key, sizeof(action->key));
@@ -70,7 +71,7 @@
 	order_t *order =
 	    g_hash_table_lookup(core->order_by_id, &event->request);
 	static const char *const names[] = { "granted", "done", "unknown",
-		"unavailable", "expired", "refused" };
+		"unavailable", "expired", "refused", "other_body" };
 
 	if (order == NULL || order->state != ORDER_CLAIMING)
 		return;
@@ -102,6 +103,12 @@
 		answer_order(core, order, 503, "not_run", "refused_before",
 		    NULL, 0, true);
 		break;
+	case CLAIM_OTHER_BODY:
+		/* This order ran nothing; what the key stands for is another.
+		 */
+		answer_order(core, order, 422, "not_run", "other_order_by_key",
+		    NULL, 0, true);
+		break;
 	case CLAIM_EXPIRED:
 		answer_order(core, order, 410, "unknown", "issued_too_long_ago",
 		    NULL, 0, false);
--- a/src/plantainarch.h
+++ b/src/plantainarch.h
@@ -472,7 +472,8 @@
 	CLAIM_UNKNOWN,	   /* claimed before without an outcome on record */
 	CLAIM_UNAVAILABLE, /* not claimed: nothing may be sent */
 	CLAIM_EXPIRED,	   /* issued longer ago than the ledger remembers */
-	CLAIM_REFUSED /* this try or a later one ended as not_run, for good */
+	CLAIM_REFUSED, /* this try or a later one ended as not_run, for good */
+	CLAIM_OTHER_BODY /* the key was claimed for another order */
 } claim_status_t;
 
 typedef struct event {
@@ -527,6 +528,7 @@
 	int64_t issued_us;
 	int64_t retention_us;
 	int try_number;
+	uint64_t body_hash; /* ACTION_CLAIM */
 	bool has_run; /* ACTION_RECORD: done, else not_run */
 } action_t;
 
@@ -597,6 +599,7 @@
 	int try_number;
 	int64_t issued_us; /* wall clock */
 	int64_t retention_us, timeout_us;
+	uint64_t body_hash; /* of the order; 0: not compared */
 } claim_t;
 
 ledger_t *ledger_create(
--- a/src/server.c
+++ b/src/server.c
@@ -354,7 +354,7 @@
 	    note->request | ((uint64_t)thread << CLAIM_THREAD_SHIFT);
 
 	claim_t claim = { request, note->key, note->try_number, note->issued_us,
-		note->retention_us, note->timeout_us };
+		note->retention_us, note->timeout_us, note->body_hash };
 
 	switch (note->type) {
 	case NOTE_CLAIM:
--- a/src/traffic.c
+++ b/src/traffic.c
@@ -228,6 +228,7 @@
 		note->issued_us = action->issued_us;
 		note->retention_us = action->retention_us;
 		note->try_number = action->try_number;
+		note->body_hash = action->body_hash;
 		note->timeout_us = action->timeout_us;
 		note->has_run = action->has_run;
 		note->body = g_steal_pointer(&action->body);
--- a/src/traffic.h
+++ b/src/traffic.h
@@ -27,6 +27,7 @@
 	char key[KEY_BYTES];
 	int64_t issued_us, retention_us, timeout_us;
 	int try_number;
+	uint64_t body_hash;
 	bool has_run, is_ready;
 	claim_status_t claim;
 	char *body;
--- a/tests/cases/bad_input.sh
+++ b/tests/cases/bad_input.sh
@@ -30,6 +30,9 @@
 echo "order with an empty key"; ask /order "{\"index\": \"main\", \"key\": \"\", \"issued_ms\": $now, \"order\": {}}"
 echo "order from the future"; ask /order "{\"index\": \"main\", \"key\": \"k\", \"issued_ms\": 99999999999999, \"order\": {}}"
 echo "order issued long ago"; ask /order '{"index": "main", "key": "k", "issued_ms": 1000, "order": {}}'
+echo "an order"; ask /order "{\"index\": \"main\", \"key\": \"twice\", \"issued_ms\": $now, \"order\": {\"loaf\": 1}}"
+echo "the same key with another body"; ask /order "{\"index\": \"main\", \"key\": \"twice\", \"issued_ms\": $now, \"try\": 2, \"order\": {\"loaf\": 2}}"
+echo "the same key with the same body"; ask /order "{\"index\": \"main\", \"key\": \"twice\", \"issued_ms\": $now, \"try\": 3, \"order\": {\"loaf\": 1}}"
 echo "try below 1"; ask /order "{\"index\": \"main\", \"key\": \"k\", \"issued_ms\": $now, \"order\": {}, \"try\": 0}"
 echo "half a request"; printf 'POST /search HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\n{"index"' | timeout 1 curl -s telnet://"$(fleet_caller 1)" >/dev/null; echo closed
 echo "a leaf that answers garbage once"; fleet_fault "$control_main" '{"garbage": 1}'; ask /search '{"index": "main", "query": "x"}'
--- a/tests/support/world.c
+++ b/tests/support/world.c
@@ -607,9 +607,10 @@
 		check_answer(world, action, vm);
 		break;
 	case ACTION_CLAIM:
-		claim = (claim_t){ action->request, action->key,
-			action->try_number, action->issued_us,
-			action->retention_us, action->timeout_us };
+		claim =
+		    (claim_t){ action->request, action->key, action->try_number,
+			    action->issued_us, action->retention_us,
+			    action->timeout_us, action->body_hash };
 		ledger_claim(vm->ledger, world->now_us, world->now_us, &claim);
 		break;
 	case ACTION_RECORD:
