--- a/fuzz/fuzz_parsers.c
+++ b/fuzz/fuzz_parsers.c
@@ -7,10 +7,14 @@
 
 #include "control_private.h"
 #include "core_private.h"
+#include "tier_shell.h"
+
+#define TIER_PARSERS 0xf0 /* first bytes from here on choose the tier's */
 
 static void fuzz_reply(const char *data, size_t length);
 static void fuzz_layout(const char *data, size_t length);
 static void fuzz_settings(const char *data, size_t length);
+static void fuzz_tier(int parser, const char *data, size_t length);
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t length);
 
@@ -27,6 +31,10 @@
 
 	if (length < 1)
 		return 0;
+	if (data[0] >= TIER_PARSERS) {
+		fuzz_tier(data[0] - TIER_PARSERS, text, length - 1);
+		return 0;
+	}
 	switch (data[0] % 9) {
 	case 0:
 		caller_parse_search(&request, text, length - 1, &error);
@@ -129,3 +137,100 @@
 	fleet_release(fleet);
 	g_free(document.body);
 }
+
+/* The first byte says where the rest is cut in two, as a network may do. */
+static void
+fuzz_http(bool is_request, const char *data, size_t length)
+{
+	const protocol_t *protocol = protocol_find("objects");
+	size_t cut = length > 0 ? (unsigned char)data[0] % length : 0, used;
+	tier_ask_t ask = { 0 };
+	leaf_answer_t answer = { 0 };
+	const char *id;
+	http_message_t message;
+	http_state_t state;
+
+	http_message_begin(&message, is_request, 2048, 2048);
+	state = http_message_feed(&message, data, cut, &used);
+	if (state == HTTP_PARTIAL)
+		state = http_message_feed(
+		    &message, data + cut, length - cut, &used);
+	if (state == HTTP_PARTIAL)
+		state = http_message_finish(&message);
+	if (state == HTTP_COMPLETE && is_request)
+		protocol->read_ask(&message, &ask);
+	else if (state == HTTP_COMPLETE)
+		protocol->read_leaf_answer(&message, &answer, &id);
+	http_message_end(&message);
+}
+
+static void
+take_table(void *context, route_table_t *table)
+{
+	route_table_match(table, "site.example", "/a/b/c?d");
+	route_table_release(table);
+}
+
+static void
+take_leaf(void *context, const leaf_entry_t *entry)
+{
+}
+
+static void
+take_vm(void *context, const char *name, int64_t revision)
+{
+}
+
+static void
+take_removal(void *context, feed_t feed, const char *name)
+{
+}
+
+static void
+take_rejection(void *context, feed_t feed, const char *name, const char *why)
+{
+}
+
+static void
+fuzz_page(feed_t feed, bool is_list, const char *data, size_t length)
+{
+	static const feed_sink_t sink = { NULL, take_table, take_leaf, take_vm,
+		take_removal, take_rejection };
+	const protocol_t *protocol = protocol_find("objects");
+	feed_page_t page = { 0 };
+	error_info_t error = { 0 };
+
+	(is_list ? protocol->read_list : protocol->read_events)(
+	    feed, data, length, &sink, &page, &error);
+}
+
+static void
+fuzz_tier(int parser, const char *data, size_t length)
+{
+	tier_settings_t settings;
+	problem_list_t problems;
+
+	switch (parser % 6) {
+	case 0:
+		fuzz_http(true, data, length);
+		break;
+	case 1:
+		fuzz_http(false, data, length);
+		break;
+	case 2:
+		fuzz_page(FEED_CONFIGURATION, true, data, length);
+		break;
+	case 3:
+		fuzz_page(FEED_LEAFS, true, data, length);
+		break;
+	case 4:
+		fuzz_page(FEED_LEAFS, false, data, length);
+		break;
+	default:
+		problem_list_begin(&problems);
+		tier_settings_parse(&settings, "fuzz", data, length, &problems);
+		tier_settings_clear(&settings);
+		problem_list_end(&problems);
+		break;
+	}
+}
--- a/src/plantainarch.h
+++ b/src/plantainarch.h
@@ -529,7 +529,7 @@
 	int64_t retention_us;
 	int try_number;
 	uint64_t body_hash; /* ACTION_CLAIM */
-	bool has_run; /* ACTION_RECORD: done, else not_run */
+	bool has_run;	    /* ACTION_RECORD: done, else not_run */
 } action_t;
 
 typedef struct core_options {
--- a/src/tier_settings.c
+++ b/src/tier_settings.c
@@ -8,7 +8,8 @@
 #include "document.h"
 #include "tier_shell.h"
 
-#define SECOND_US 1000000
+#define SECOND_US   1000000
+#define NUMBER_MOST 1e9
 
 typedef struct text_key {
 	const char *name;
@@ -43,9 +44,10 @@
 	const char *text = document_get_scalar(value);
 	double number = strtod(text, &end);
 
-	if (*text == '\0' || *end != '\0' || number < 0) {
+	if (*text == '\0' || *end != '\0' ||
+	    !(number >= 0 && number <= NUMBER_MOST)) {
 		document_add_problem(reading, value, key,
-		    "found \"%s\"; allowed is a number of 0 or more", text);
+		    "found \"%s\"; allowed is a number from 0 to 1e9", text);
 		return false;
 	}
 	*target = number;
