Decide in the reach floor what a refused connection means

Cause: the pool told a refused connection of a leaf that serves others as 'crowded', which may have run; nothing had been sent, so a request that may not repeat lost its other leaf. The outcome is 'unsent' again, and part.c believes the leaf crowded.

--- a/src/part.c
+++ b/src/part.c
@@ -9,12 +9,12 @@
 
 #include "tier_private.h"
 
-#define HEDGE_AGAIN_US	15000  /* between looks at a part that can't hedge */
-#define RESTARTS_MOST	3      /* of a part whose request did not arrive */
-#define ABANDON_US	250000 /* a leaf may finish what nobody waits for */
-#define LOWER_TURN	4      /* each such dispatch goes to a lower rank */
-#define LATENCY_WEIGHT	0.1
-#define LATENCY_CLIP_US 250000.0 /* a pause more or less */
+#define HEDGE_AGAIN_US	15000	 /* between looks at a part that can't hedge */
+#define RESTARTS_MOST	3	 /* of a part whose request did not arrive */
+#define ABANDON_US	250000	 /* a leaf may finish what nobody waits for */
+#define LOWER_TURN	4	 /* each such dispatch goes to a lower rank */
+#define LATENCY_WEIGHT	0.1	 /* of one sample in a service's mean */
+#define LATENCY_CLIP_US 250000.0 /* a longer one is a fault, not load */
 
 void
 part_queue(tier_part_t *part, int rank)
@@ -248,6 +248,18 @@
 	       outcome != OUTCOME_UNSENT;
 }
 
+/*
+ * A leaf that refuses a connection while it serves others lives, and has too
+ * many of them. The refused one is still counted here.
+ */
+static attempt_outcome_t
+get_believed(const tier_leaf_t *leaf, attempt_outcome_t outcome)
+{
+	return outcome == OUTCOME_UNSENT && leaf->open_count > 1
+		   ? OUTCOME_CROWDED
+		   : outcome;
+}
+
 static void
 note_outcome(tier_t *tier, tier_attempt_t *attempt, int64_t now_us,
     const leaf_answer_t *answer)
@@ -268,7 +280,8 @@
 	default:
 		break;
 	}
-	belief_note_failure(&leaf->belief, now_us, answer->outcome);
+	belief_note_failure(
+	    &leaf->belief, now_us, get_believed(leaf, answer->outcome));
 	if (!log_is_enabled(LOG_TIER_ATTEMPT_FAILED))
 		return;
 	snprintf(text, sizeof(text),
@@ -349,8 +362,7 @@
 		return PART_GOES_ON; /* the other may still answer */
 	if (request->route->may_repeat || !ran) {
 		if (is_free_retry(answer->outcome)) {
-			/* Never arrived: neither an attempt nor an extra one.
-			 */
+			/* Neither an attempt nor an extra one. */
 			if (restart_part(part, now_us))
 				return PART_GOES_ON;
 		} else {
--- a/src/pool.c
+++ b/src/pool.c
@@ -353,17 +353,6 @@
 		stream_is_written(link->stream));
 }
 
-/* A leaf that serves other connections lives, and has too many of them. */
-static attempt_outcome_t
-get_refusal(const leaf_link_t *link)
-{
-	const leaf_pool_t *owner = link->owner;
-
-	return !owner->is_forgotten && owner->leaf->open_count > 1
-		   ? OUTCOME_CROWDED
-		   : OUTCOME_UNSENT;
-}
-
 static void
 handle_closed(void *context, bool is_clean)
 {
@@ -376,7 +365,7 @@
 		destroy_link(link);
 		destroy_if_unused(owner);
 	} else if (!link->is_open)
-		fail_link(link, get_refusal(link));
+		fail_link(link, OUTCOME_UNSENT);
 	else if (!link->is_used && !link->message.is_begun)
 		fail_link(link, OUTCOME_CROWDED);
 	else if (is_clean &&
--- a/src/source.c
+++ b/src/source.c
@@ -507,7 +507,7 @@
 	}
 	note_regained(feed);
 	http_message_reset(&feed->message);
-	if (is_list && page.has_more) {
+	if (is_list && page.is_continued) {
 		g_strlcpy(feed->after, page.after, sizeof(feed->after));
 		send_list(feed);
 		return;
--- a/src/tier_shell.h
+++ b/src/tier_shell.h
@@ -22,7 +22,7 @@
 /** One page of a list, or one answer of a watch. */
 typedef struct feed_page {
 	int64_t revision; /* to watch from */
-	bool has_more;
+	bool is_continued;
 	int count;	       /* objects or events in it */
 	char after[KEY_BYTES]; /* the name to go on behind */
 } feed_page_t;
