Give an unused turn of a lower rank back to the most urgent

Cause: when a lower rank's turn found no room, dispatch stopped and kept the turn, so urgent parts waited for a leaf that lower ranks may not fill. Also: a result is taken only where its request still waits, as the analyzer asked.

--- a/src/part.c
+++ b/src/part.c
@@ -437,23 +437,25 @@
 	return result;
 }
 
-/* The next waiting part: urgent first, but lower ranks keep a share. */
 tier_part_t *
-part_get_next_waiting(tier_service_t *service)
+part_get_most_urgent(const tier_service_t *service)
 {
-	bool is_lower_turn = service->turns % LOWER_TURN == LOWER_TURN - 1;
-	tier_part_t *first = NULL;
+	for (int i = 0; i < TIER_RANKS; i++)
+		if (!TAILQ_EMPTY(&service->waiting[i]))
+			return TAILQ_FIRST(&service->waiting[i]);
+	return NULL;
+}
 
-	for (int i = 0; i < TIER_RANKS; i++) {
-		tier_part_t *part = TAILQ_FIRST(&service->waiting[i]);
+/* The next waiting part: urgent first, but lower ranks keep a share. */
+tier_part_t *
+part_get_next_waiting(const tier_service_t *service)
+{
+	tier_part_t *first = part_get_most_urgent(service);
 
-		if (part == NULL)
-			continue;
-		if (first != NULL)
-			return part;
-		first = part;
-		if (!is_lower_turn)
-			return first;
-	}
+	if (first == NULL || service->turns % LOWER_TURN != LOWER_TURN - 1)
+		return first;
+	for (int i = first->queue_rank + 1; i < TIER_RANKS; i++)
+		if (!TAILQ_EMPTY(&service->waiting[i]))
+			return TAILQ_FIRST(&service->waiting[i]);
 	return first;
 }
--- a/src/tier.c
+++ b/src/tier.c
@@ -355,15 +355,19 @@
 	tier_settle(request, now_us);
 }
 
-/* Sends what waits for a connection to this service. */
+/*
+ * Sends what waits for a connection to this service. A lower rank whose turn it
+ * is but that finds no room gives the turn back to the most urgent.
+ */
 static void
 dispatch(tier_service_t *service, int64_t now_us)
 {
 	while (service->waiting_count > 0) {
 		tier_part_t *part = part_get_next_waiting(service);
+		bool is_lower_turn = part != part_get_most_urgent(service);
 
 		part_start(part, now_us, part->tried.count > 0);
-		if (part->state == PART_WAITING)
+		if (part->state == PART_WAITING && !is_lower_turn)
 			return;
 		service->turns++;
 		if (part->state == PART_FAILED)
@@ -371,15 +375,11 @@
 	}
 }
 
-void
-tier_handle_answer(tier_t *tier, int64_t now_us, tier_attempt_t *attempt,
+static void
+take_result(tier_request_t *request, int64_t now_us, part_result_t result,
     const leaf_answer_t *answer)
 {
-	tier_service_t *service = attempt->leaf->service;
-	tier_request_t *request =
-	    attempt->part != NULL ? attempt->part->request : NULL;
-
-	switch (part_handle_answer(tier, now_us, attempt, answer)) {
+	switch (result) {
 	case PART_IS_DONE:
 		complete_part(request, now_us, answer);
 		break;
@@ -392,6 +392,20 @@
 	case PART_GOES_ON:
 		break;
 	}
+}
+
+void
+tier_handle_answer(tier_t *tier, int64_t now_us, tier_attempt_t *attempt,
+    const leaf_answer_t *answer)
+{
+	tier_service_t *service = attempt->leaf->service;
+	tier_request_t *request =
+	    attempt->part != NULL ? attempt->part->request : NULL;
+	part_result_t result =
+	    part_handle_answer(tier, now_us, attempt, answer);
+
+	if (request != NULL)
+		take_result(request, now_us, result, answer);
 	dispatch(service, now_us);
 }
 
--- a/src/tier_private.h
+++ b/src/tier_private.h
@@ -93,7 +93,9 @@
 void part_start(tier_part_t *part, int64_t now_us, bool is_extra);
 void part_hedge(tier_part_t *part, int64_t now_us);
 void part_fail(tier_part_t *part);
-tier_part_t *part_get_next_waiting(tier_service_t *service);
+tier_part_t *part_get_most_urgent(
+    const tier_service_t *service); /* NULL: none waits */
+tier_part_t *part_get_next_waiting(const tier_service_t *service);
 void part_drop_attempt(tier_t *tier, tier_attempt_t *attempt);
 tier_attempt_t *part_find_attempt(
     tier_t *tier, const tier_part_t *part); /* an open one */
