Keep callers' ids from breaking log lines or the match of answers

An id with a quote broke its log line, and one beyond 127 bytes never matched its answer: both are in tier_path now.

--- a/src/part.c
+++ b/src/part.c
@@ -144,7 +144,7 @@
 	snprintf(text, sizeof(text),
 	    "\"id\":\"%s\",\"service\":\"%s\",\"sent\":%d,\"budget_first\":%d,"
 	    "\"budget_extra\":%d,\"vms\":%d,\"why\":\"%s\"",
-	    part->request->ask.id, part->service->name, part->sent_count,
+	    part->request->log_id, part->service->name, part->sent_count,
 	    budget->first_sum, budget->extra_sum, tier->vm_count,
 	    why_not != NULL ? why_not : "");
 	tier->shell.log(tier->shell.context,
@@ -288,7 +288,7 @@
 	    "\"id\":\"%s\",\"leaf\":\"%s\",\"service\":\"%s\","
 	    "\"outcome\":\"%s\",\"status\":%d,\"took_us\":%" G_GINT64_FORMAT
 	    ",\"failures\":%.2f,\"down_us\":%" G_GINT64_FORMAT,
-	    attempt->part != NULL ? attempt->part->request->ask.id : "",
+	    attempt->part != NULL ? attempt->part->request->log_id : "",
 	    leaf->entry.id, leaf->entry.service,
 	    outcome_get_name(answer->outcome), answer->status,
 	    now_us - attempt->sent_us, leaf->belief.failures,
--- a/src/pool.c
+++ b/src/pool.c
@@ -307,7 +307,7 @@
 	*answer = (leaf_answer_t){ .message = &link->message };
 	link->owner->pool->protocol->read_leaf_answer(
 	    &link->message, answer, &id);
-	if (id == NULL || strcmp(id, link->id) == 0)
+	if (id == NULL || strncmp(id, link->id, sizeof(link->id) - 1) == 0)
 		return true;
 	metric_add(METRIC_REPLIES_DROPPED, 1);
 	link->is_spoiled = true;
--- a/src/tier_answers.c
+++ b/src/tier_answers.c
@@ -34,7 +34,7 @@
 	    ",\"patience_us\":%" G_GINT64_FORMAT
 	    ",\"caller_rtt_us\":%" G_GINT64_FORMAT
 	    ",\"parts\":%d,\"done\":%d,\"failed\":%d,\"extra\":%d",
-	    request->ask.id, request->route->name, request->table->version,
+	    request->log_id, request->route->name, request->table->version,
 	    outcome, took_us, request->ask.patience_us, request->ask.rtt_us,
 	    request->part_count, request->done_count, request->failed_count,
 	    request->extra_count);
@@ -78,7 +78,7 @@
 	snprintf(text, sizeof(text),
 	    "\"id\":\"%s\",\"service\":\"%s\",\"state\":\"%s\",\"tried\":%d,"
 	    "\"leaf\":\"%s\",\"queue\":%d,\"after_us\":%" G_GINT64_FORMAT,
-	    request->ask.id, part->service->name, states[part->state],
+	    request->log_id, part->service->name, states[part->state],
 	    part->tried.count, open != NULL ? open->leaf->entry.id : "",
 	    part->service->waiting_count, now_us - request->ask.arrived_us);
 	request->tier->shell.log(
--- a/src/tier_private.h
+++ b/src/tier_private.h
@@ -55,6 +55,7 @@
 	route_table_t *table; /* keeps the route */
 	route_state_t *state;
 	tier_ask_t ask;
+	char log_id[NAME_BYTES]; /* the id without what JSON escapes */
 	void *caller;
 	int rank;
 	int part_count, done_count, failed_count;
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -325,7 +325,7 @@
 	site_t *site = link->port->site;
 	const char *id =
 	    http_get_header(&link->message, "Plantainarch-Request-Id");
-	char headers[256], extra[512], body[400];
+	char headers[1024], extra[2048], body[400];
 
 	for (size_t i = 0; i < sizeof(body); i++)
 		body[i] = (char)(rand_r(&site->seed) % 256);
--- a/stand-ins/tier.sh
+++ b/stand-ins/tier.sh
@@ -68,7 +68,8 @@
 # Bytes as they are to VM 1; prints the status line of the first answer.
 tier_raw() {
 	exec 9<>"/dev/tcp/127.0.0.1/$(tier_caller_port 1)"
-	printf "$1" >&9
+	printf "$1" >"$tier_dir/raw"
+	cat "$tier_dir/raw" >&9 # one write: the VM may close early
 	head -n 1 <&9 | tr -d '\r'
 	exec 9>&-
 }
--- a/tests/cases/tier_path.sh
+++ b/tests/cases/tier_path.sh
@@ -15,6 +15,7 @@
 status HEAD /fetch/x r5 -I
 status GET /nothing/ r6
 status GET /late/x r7
+status GET /fetch/x "$(head -c 300 /dev/zero | tr '\0' i)"
 
 echo "== bad input"
 tier_raw 'GET /list/ HTTP/1.1\r\nHost: site.example\r\n\r\n'
@@ -55,3 +56,11 @@
 wait "$tier_pid_1"; echo "exit $?"
 grep -o 'LOG_TIER_STOPPED.*' "$PA_SCRATCH/vm1.log"
 tier_control /stats | grep -o 'twice [0-9]* unasked [0-9]*'
+
+echo "== an id with a quote, explained from the log of a VM"
+tier_control '/fault?leaf=all&kind=error&share=1' >/dev/null
+tier_start 2
+curl -s -o /dev/null -w '%{http_code}\n' -H 'Host: site.example' -H 'Plantainarch-Request-Id: a"b' "127.0.0.1:$(tier_caller_port 2)/fetch/x"
+sleep 0.3
+"$PA_BUILD/plantainarch" explain-request 'a_b' --log "$PA_SCRATCH/vm2.log" | grep -o 'outcome="leaf_failed"' | sort -u
+"$PA_BUILD/plantainarch" explain-request none --log "$PA_SCRATCH/vm2.log" 2>/dev/null; echo "exit $?"
