Read on after a refused message, so that no reset overtakes the answer

Closing a connection with unread bytes resets it, and a caller that still sends a body of 3 MB saw a reset in place of 413. The writing side ends first; what follows is discarded for a second at most. The case tier_path sends such a body.

--- a/src/entrance.c
+++ b/src/entrance.c
@@ -11,6 +11,7 @@
 #include "tier_shell.h"
 
 #define SWEEP_US       250000
+#define LINGER_US      1000000 /* a refused message may still arrive */
 #define ACCEPTS_A_TURN 16
 #define BACKLOG_BYTES  65536 /* of later requests, while one is in work */
 
@@ -27,6 +28,9 @@
 	bool is_working;  /* a request has no answer yet */
 	bool is_closing;  /* closed after the answer */
 	bool is_ended;
+	bool is_refused;   /* bytes of a refused message may follow */
+	bool is_lingering; /* reads on and discards, so that no reset overtakes
+			      the answer */
 	bool is_continued; /* "100 Continue" was said for this request */
 } caller_link_t;
 
@@ -306,6 +310,7 @@
 	link->is_working = true;
 	link->entrance->busy_count++;
 	link->is_closing = true;
+	link->is_refused = true;
 	entrance_answer(link, &answer);
 }
 
@@ -349,6 +354,8 @@
 {
 	caller_link_t *link = context;
 
+	if (link->is_lingering)
+		return;
 	if (!link->is_working && !link->is_ended) {
 		feed_link(link, data, length);
 		return;
@@ -380,6 +387,13 @@
 	link->is_old = true;
 	link->is_continued = false;
 	link->entrance->ended_count--;
+	if (link->is_closing && link->is_refused &&
+	    stream_is_written(link->stream)) {
+		link->is_lingering = true;
+		link->since_us = now_us;
+		stream_end_writing(link->stream);
+		return;
+	}
 	if (link->is_closing) {
 		destroy_link(link);
 		return;
@@ -404,7 +418,11 @@
 
 	if (link->is_working)
 		return;
-	if (!link->message.is_begun && age_us > limits->idle_us)
+	if (link->is_lingering && age_us > LINGER_US)
+		destroy_link(link);
+	else if (link->is_lingering)
+		return;
+	else if (!link->message.is_begun && age_us > limits->idle_us)
 		destroy_link(link);
 	else if (link->message.is_begun && age_us > limits->read_us)
 		refuse_message(link, 408, "the request took too long");
--- a/src/http.h
+++ b/src/http.h
@@ -84,7 +84,8 @@
 bool stream_is_written(const stream_t *stream);	   /* nothing waits here */
 /** Stops reading; bytes that come later wait in the kernel. */
 void stream_set_reading(stream_t *stream, bool is_reading);
-void stream_destroy(stream_t *stream); /* closes; no callback follows */
+void stream_end_writing(stream_t *stream); /* the peer sees the end */
+void stream_destroy(stream_t *stream);	   /* closes; no callback follows */
 /** Closes once all is written; takes no more input, calls nothing back. */
 void stream_finish(stream_t *stream);
 
--- a/src/stream.c
+++ b/src/stream.c
@@ -259,6 +259,13 @@
 	update_interest(stream);
 }
 
+void
+stream_end_writing(stream_t *stream)
+{
+	if (!stream->is_closed)
+		shutdown(stream->fd, SHUT_WR);
+}
+
 void
 stream_destroy(stream_t *stream)
 {
--- a/tests/cases/tier_path.sh
+++ b/tests/cases/tier_path.sh
@@ -25,6 +25,8 @@
 tier_raw 'POST /fetch/ HTTP/1.1\r\nHost: site.example\r\nPlantainarch-Request-Id: s4\r\nContent-Length: 70000\r\n\r\n'
 tier_raw "GET /fetch/ HTTP/1.1\r\nHost: site.example\r\nX: $(head -c 9000 /dev/zero | tr '\0' x)\r\n\r\n"
 tier_raw 'GET /fetch/ HTTP/1.1\r\nHost: site.ex'
+head -c 3000000 /dev/zero | tr '\0' x >"$PA_SCRATCH/large"
+status POST /fetch/x r9 -H 'Expect:' --data-binary "@$PA_SCRATCH/large"
 
 echo "== configuration"
 tier_control '/configuration?version=5' >/dev/null; sleep 1
