--- a/src/belief.c
+++ b/src/belief.c
@@ -119,7 +119,6 @@
 	leaf->is_stalled = false;
 	leaf->down_until_us = 0;
 	leaf->backoff_us = 0;
-	leaf->answered_us = now_us;
 }
 
 /* The leaf takes no further connection; that says nothing of its work. */
@@ -152,10 +151,7 @@
 }
 
 void
-belief_note_stall(leaf_belief_t *leaf, int64_t now_us)
+belief_note_stall(leaf_belief_t *leaf)
 {
-	if (leaf->is_stalled)
-		return;
 	leaf->is_stalled = true;
-	leaf->stalled_us = now_us;
 }
--- a/src/part.c
+++ b/src/part.c
@@ -191,7 +191,7 @@
 
 	if (leaf->belief.is_stalled)
 		return;
-	belief_note_stall(&leaf->belief, now_us);
+	belief_note_stall(&leaf->belief);
 	TAILQ_FOREACH (attempt, &tier->attempts, in_flight) {
 		tier_part_t *part = attempt->part;
 
--- a/src/tier.c
+++ b/src/tier.c
@@ -98,12 +98,6 @@
 	return &tier->limits;
 }
 
-int
-tier_count_requests(const tier_t *tier)
-{
-	return tier->request_count;
-}
-
 void
 tier_set_stopping(tier_t *tier, int64_t until_us)
 {
--- a/src/tier.h
+++ b/src/tier.h
@@ -126,11 +126,9 @@
 	double load;	       /* work in multiples of an idle leaf's, aged */
 	double failures;       /* share of failed requests, aged */
 	bool is_stalled;       /* something sent there is long overdue */
-	int64_t stalled_us;    /* since when */
 	int64_t down_until_us; /* not used before, after hard failures */
 	int64_t backoff_us;
 	int64_t cold_until_us;
-	int64_t answered_us;	  /* last sign of life */
 	int64_t crowded_until_us; /* opens no further connection before */
 } leaf_belief_t;
 
@@ -144,7 +142,7 @@
     int64_t now_us, int64_t rtt_us, int64_t took_us);
 void belief_note_failure(
     leaf_belief_t *leaf, int64_t now_us, attempt_outcome_t outcome);
-void belief_note_stall(leaf_belief_t *leaf, int64_t now_us);
+void belief_note_stall(leaf_belief_t *leaf);
 
 /* ---- Budget: extra requests to one service in a sliding window ---- */
 
@@ -221,8 +219,7 @@
 	const char *stamp; /* ANSWERED, LEAF_FAILED; NULL if absent */
 	const char *body;
 	size_t body_length;
-	bool is_leaving; /* it will close, and may be draining */
-	void *message;	 /* handed back in ANSWER_LEAF */
+	void *message; /* handed back in ANSWER_LEAF */
 } leaf_answer_t;
 
 /** Effects of the decisions. None of them may call back into the tier. */
@@ -298,7 +295,6 @@
 void tier_handle_rtt(
     tier_leaf_t *leaf, int64_t rtt_us);		 /* of a new connection */
 int64_t tier_tick(tier_t *tier, int64_t now_us); /* returns the next time */
-int tier_count_requests(const tier_t *tier);
 void tier_set_stopping(
     tier_t *tier, int64_t until_us); /* all requests end by then */
 
