--- a/src/source.c
+++ b/src/source.c
@@ -75,6 +75,7 @@
 	route_table_t *table;
 	GHashTable *leafs; /* id -> leaf_record_t */
 	GHashTable *vms;   /* name -> vm_record_t */
+	int vm_count;	   /* of the last list */
 	bool is_changed, is_vm_known, is_leaving;
 	int64_t publish_us, vanish_due_us, beat_us, beat;
 };
@@ -286,25 +287,34 @@
 	       clock_get_us() - record->changed_us > VM_LAPSE_US;
 }
 
+/* The polled list mostly says what is known; only their number matters. */
+static void
+finish_vms(feed_state_t *feed)
+{
+	source_t *source = feed->source;
+	int count;
+
+	g_hash_table_foreach_remove(source->vms, is_lapsed, feed);
+	count = (int)g_hash_table_size(source->vms);
+	if (!source->is_vm_known || count != source->vm_count)
+		mark_changed(source);
+	source->is_vm_known = true;
+	source->vm_count = count;
+	metric_set(METRIC_TIER_VMS, count);
+}
+
 static void
 finish_list(feed_state_t *feed)
 {
 	source_t *source = feed->source;
 
 	feed->is_listed = true;
-	if (feed->feed == FEED_LEAFS)
-		vanish_unlisted(feed);
 	if (feed->feed == FEED_VMS) {
-		guint before = g_hash_table_size(source->vms);
-
-		g_hash_table_foreach_remove(source->vms, is_lapsed, feed);
-		if (!source->is_vm_known ||
-		    before != g_hash_table_size(source->vms))
-			mark_changed(source);
-		source->is_vm_known = true;
-		metric_set(
-		    METRIC_TIER_VMS, (int64_t)g_hash_table_size(source->vms));
+		finish_vms(feed);
+		return;
 	}
+	if (feed->feed == FEED_LEAFS)
+		vanish_unlisted(feed);
 	mark_changed(source);
 }
 
@@ -638,8 +648,7 @@
 	source->is_changed = false;
 	if (source->table == NULL || !source->feeds[FEED_LEAFS].is_listed)
 		return;
-	directory = directory_create(source->table,
-	    source->is_vm_known ? (int)g_hash_table_size(source->vms) : 0);
+	directory = directory_create(source->table, source->vm_count);
 	g_hash_table_iter_init(&iter, source->leafs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		g_array_append_val(
--- a/src/tier.h
+++ b/src/tier.h
@@ -257,7 +257,6 @@
 	char name[NAME_BYTES];
 	int connections;
 	LIST_HEAD(, tier_leaf) leafs;
-	int leaf_count;
 	budget_t budget;
 	TAILQ_HEAD(, tier_part) waiting[TIER_RANKS];
 	int waiting_count, waiting_by_rank[TIER_RANKS];
--- a/src/tier_leafs.c
+++ b/src/tier_leafs.c
@@ -78,7 +78,6 @@
 {
 	if (!leaf->is_gone) {
 		LIST_REMOVE(leaf, in_service);
-		leaf->service->leaf_count--;
 		g_hash_table_remove(tier->leafs, leaf->entry.id);
 		leaf->is_gone = true;
 		tier->shell.forget(tier->shell.context, leaf);
@@ -99,7 +98,6 @@
 	leaf_belief_begin(&leaf->belief);
 	leaf->belief.cold_until_us = now_us + entry->cold_us;
 	LIST_INSERT_HEAD(&leaf->service->leafs, leaf, in_service);
-	leaf->service->leaf_count++;
 	g_hash_table_insert(tier->leafs, leaf->entry.id, leaf);
 }
 
--- a/stand-ins/caller.c
+++ b/stand-ins/caller.c
@@ -29,7 +29,7 @@
 	loop_t *loop;
 	char **targets;
 	int target_count, shards;
-	const char *path, *method;
+	const char *path;
 	gsl_rng *random;
 	GPtrArray *links;
 	double rate;
@@ -223,10 +223,10 @@
 	link->due_us = clock_get_us() + PATIENCE_MS * 1000L;
 	out = g_string_new(NULL);
 	g_string_printf(out,
-	    "%s %s HTTP/1.1\r\nHost: site.example\r\n"
+	    "GET %s HTTP/1.1\r\nHost: site.example\r\n"
 	    "Plantainarch-Request-Id: %s\r\nPlantainarch-Deadline-Ms: %d\r\n"
 	    "\r\n",
-	    caller->method, caller->path, link->id, PATIENCE_MS);
+	    caller->path, link->id, PATIENCE_MS);
 	stream_write(link->stream, out->str, out->len);
 	g_string_free(out, TRUE);
 }
@@ -272,7 +272,7 @@
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { targets, path, shards, rate, seconds, help, end };
-	caller_t caller = { .method = "GET" };
+	caller_t caller = { 0 };
 	int errors = arg_parse(argc, argv, table);
 
 	if (help->count > 0) {
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -37,7 +37,7 @@
 	GQueue queue; /* site_link_t */
 	char fault[16];
 	double share;
-	bool is_registered, is_draining;
+	bool is_draining;
 	int arrivals_drained;
 } site_leaf_t;
 
--- a/tests/support/tier_world.c
+++ b/tests/support/tier_world.c
@@ -8,22 +8,21 @@
 #include <stdio.h>
 #include <string.h>
 
-#define WORLD_QUEUE	 12
-#define WORLD_SLOTS	 2
-#define PAUSE_US	 200000
-#define PAUSE_EVERY_US	 4500000
-#define WAY_CALLER_US	 1000
-#define WAY_SAME_US	 100
-#define WAY_REMOTE_US	 12000
-#define CONNECTIONS	 26
-#define FETCH_LEAFS	 4
-#define FETCH_SLOTS	 6
-#define FETCH_LIMIT	 110
-#define BURST_BEGIN_US	 4000000
-#define BURST_END_US	 7000000
-#define DRAIN_US	 4000000
-#define COUNT_UNKNOWN	 100 /* as the process assumes */
-#define PATIENCE_LIST_US 1000000
+#define WORLD_QUEUE    12
+#define WORLD_SLOTS    2
+#define PAUSE_US       200000
+#define PAUSE_EVERY_US 4500000
+#define WAY_CALLER_US  1000
+#define WAY_SAME_US    100
+#define WAY_REMOTE_US  12000
+#define CONNECTIONS    26
+#define FETCH_LEAFS    4
+#define FETCH_SLOTS    6
+#define FETCH_LIMIT    110
+#define BURST_BEGIN_US 4000000
+#define BURST_END_US   7000000
+#define DRAIN_US       4000000
+#define COUNT_UNKNOWN  100 /* as the process assumes */
 
 typedef enum world_event_type {
 	WORLD_CALL,
