Split the stand-in site by module; check merged records from their stamps

Bodies now follow from the stamp (part_body.c) and the caller works the merge out anew; a forwarded answer is compared byte by byte too.

--- a/Makefile
+++ b/Makefile
@@ -50,10 +50,10 @@
 $(BUILD)/platform: stand-ins/platform.c stand-ins/stub.c $(OBJECTS)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/site: stand-ins/site.c $(OBJECTS)
-	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+$(BUILD)/site: $(wildcard stand-ins/site*.c) stand-ins/part_body.c stand-ins/site.h $(OBJECTS)
+	$(CC) $(CFLAGS) -o $@ $(filter-out %.h,$^) $(LIBS)
 
-$(BUILD)/caller: stand-ins/caller.c $(OBJECTS)
+$(BUILD)/caller: stand-ins/caller.c stand-ins/part_body.c $(OBJECTS)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
 $(BUILD)/upstream: stand-ins/upstream.c stand-ins/stub.c $(OBJECTS)
--- a/stand-ins/caller.c
+++ b/stand-ins/caller.c
@@ -1,17 +1,27 @@
 /**
  * @file caller.c
  * Callers of the tier on loopback: an open loop over kept connections that
- * checks each answer and counts what came back.
+ * checks each answer and counts what came back. With --tell it prints a line
+ * for each request sent and each way in which it ended, and reads the path of
+ * later requests from its standard input.
  */
 #include <argtable2.h>
 #include <gsl/gsl_randist.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
 
+#include "part_body.h"
 #include "tier_shell.h"
 
-#define PATIENCE_MS 2000
-#define LINKS_MOST  256
+#define PATIENCE_MS   2000
+#define LATEST_US     3000000 /* of an answer, after the last request */
+#define LINKS_MOST    256
+#define REUSE_US      4000000 /* four fifths of the VMs' idle limit */
+#define LEAVE_MOST_US 80000   /* a caller that gives up has waited so long */
+#define RECORDS_MOST  20      /* of one gathered answer */
+#define GATHERED_PATH "/list/"
 
 typedef struct caller caller_t;
 
@@ -23,16 +33,20 @@
 	bool is_busy;
 	int target;
 	int64_t due_us;
+	int64_t leave_us; /* the caller closes then */
+	int64_t rest_us;  /* idle since */
 } call_link_t;
 
 struct caller {
 	loop_t *loop;
 	char **targets;
 	int target_count, shards;
-	const char *path;
+	char *path;
+	const char *name; /* first part of its requests' ids */
 	gsl_rng *random;
 	GPtrArray *links;
-	double rate;
+	double rate, leave_share;
+	bool is_told;
 	int64_t end_us, next_us;
 	int sent, whole, partial, refused, failed, wrong, cut, late;
 };
@@ -43,69 +57,127 @@
 static const stream_hooks_t link_hooks = { NULL, handle_received,
 	handle_closed };
 
+/* One line of the history that a checker reads. */
+static void
+tell(const call_link_t *link, const char *event, const char *more)
+{
+	if (!link->caller->is_told)
+		return;
+	printf("%" G_GINT64_FORMAT " %s %s vm-%d %s\n", clock_get_us(), event,
+	    link->id, link->target + 1, more);
+	fflush(stdout);
+}
+
 static void
 report_wrong(call_link_t *link, const char *what)
 {
 	link->caller->wrong++;
 	fprintf(stderr, "caller: %s: %s\n", link->id, what);
+	tell(link, "wrong", what);
 }
 
-/* Stamps of the stand-in end with the id of the request. */
-static int
-count_stamps(call_link_t *link)
+/* The stamps of a gathered answer; freed with g_ptr_array_unref. */
+static GPtrArray *
+get_stamps(const http_message_t *message)
 {
-	const http_message_t *message = &link->message;
-	GHashTable *seen =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	int count = 0;
+	GPtrArray *stamps = g_ptr_array_new_with_free_func(g_free);
 
 	for (guint i = 0; i < message->headers->len; i++) {
 		const http_header_t *header =
 		    &g_array_index(message->headers, http_header_t, i);
-		char **stamps;
+		char **words;
 
 		if (g_ascii_strcasecmp(message->text->str + header->name,
 			"Plantainarch-Part-Stamps") != 0)
 			continue;
-		stamps =
+		words =
 		    g_strsplit(message->text->str + header->value, ", ", -1);
-		for (int j = 0; stamps[j] != NULL; j++) {
-			char **words = g_strsplit(stamps[j], ".", 3);
-
-			count++;
-			if (!g_str_has_suffix(stamps[j], link->id))
-				report_wrong(link, "a part of another request");
-			if (!g_hash_table_add(seen, g_strdup(words[0])))
-				report_wrong(link, "a shard twice");
-			g_strfreev(words);
-		}
-		g_strfreev(stamps);
+		for (int j = 0; words[j] != NULL; j++)
+			g_ptr_array_add(stamps, g_strdup(words[j]));
+		g_strfreev(words);
 	}
+	return stamps;
+}
+
+/*
+ * Stamps of the stand-in are SERVICE.LEAF.ID, and services are SET-NUMBER. All
+ * parts must be of one set, whose size its name may tell ("s3of4").
+ * Returns that size.
+ */
+static int
+check_stamps(call_link_t *link, const GPtrArray *stamps)
+{
+	GHashTable *seen =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	char *set = NULL;
+	const char *size;
+	int shards = link->caller->shards;
+
+	for (guint i = 0; i < stamps->len; i++) {
+		const char *stamp = g_ptr_array_index(stamps, i);
+		char **words = g_strsplit(stamp, ".", 3);
+		char *own = g_strndup(stamp, strcspn(stamp, "-"));
+
+		if (!g_str_has_suffix(stamp, link->id))
+			report_wrong(link, "a part of another request");
+		if (!g_hash_table_add(seen, g_strdup(words[0])))
+			report_wrong(link, "a shard twice");
+		if (set != NULL && strcmp(set, own) != 0)
+			report_wrong(link, "parts of two configurations");
+		g_free(set);
+		set = own;
+		g_strfreev(words);
+	}
+	size = set != NULL ? strstr(set, "of") : NULL;
+	if (size != NULL)
+		shards = atoi(size + 2);
+	g_free(set);
 	g_hash_table_unref(seen);
-	return count;
+	return shards;
+}
+
+static int
+compare_records(const void *left, const void *right)
+{
+	return memcmp(right, left, RECORD_BYTES); /* the greatest first */
+}
+
+/* The body must be the greatest records of just the parts named. */
+static void
+check_records(call_link_t *link, const GPtrArray *stamps)
+{
+	const GString *body = link->message.body;
+	size_t total = stamps->len * PART_BODY_BYTES;
+	size_t most = RECORDS_MOST * RECORD_BYTES;
+	char *records = g_malloc(total + 1);
+
+	for (guint i = 0; i < stamps->len; i++)
+		part_body_fill(g_ptr_array_index(stamps, i),
+		    records + i * PART_BODY_BYTES);
+	qsort(records, total / RECORD_BYTES, RECORD_BYTES, compare_records);
+	if (body->len != MIN(most, total) ||
+	    memcmp(body->str, records, body->len) != 0)
+		report_wrong(link, "not the greatest records of its parts");
+	g_free(records);
 }
 
 static void
 check_gather(call_link_t *link)
 {
 	caller_t *caller = link->caller;
-	const GString *body = link->message.body;
 	const char *missing =
 	    http_get_header(&link->message, "Plantainarch-Missing-Parts");
-	int count = count_stamps(link);
+	GPtrArray *stamps = get_stamps(&link->message);
 	int left_out = missing != NULL ? atoi(missing) : 0;
 
-	if (count + left_out != caller->shards)
+	if ((int)stamps->len + left_out != check_stamps(link, stamps))
 		report_wrong(link, "the parts don't make up the set");
-	for (size_t i = RECORD_BYTES; i + RECORD_BYTES <= body->len;
-	     i += RECORD_BYTES)
-		if (memcmp(body->str + i - RECORD_BYTES, body->str + i,
-			RECORD_BYTES) < 0)
-			report_wrong(link, "the records don't fall");
+	check_records(link, stamps);
 	if (left_out > 0)
 		caller->partial++;
 	else
 		caller->whole++;
+	g_ptr_array_unref(stamps);
 }
 
 static void
@@ -114,10 +186,16 @@
 	const char *stamp =
 	    http_get_header(&link->message, "Plantainarch-Server-Stamp");
 
+	char body[PART_BODY_BYTES];
+
 	if (stamp == NULL || !g_str_has_suffix(stamp, link->id))
 		report_wrong(link, "no stamp of this request");
-	if (link->message.body->len != 400)
-		report_wrong(link, "not the whole body");
+	else
+		part_body_fill(stamp, body);
+	if (link->message.body->len != PART_BODY_BYTES ||
+	    (stamp != NULL &&
+		memcmp(body, link->message.body->str, PART_BODY_BYTES) != 0))
+		report_wrong(link, "not the leaf's whole body");
 	link->caller->whole++;
 }
 
@@ -125,7 +203,10 @@
 take_answer(call_link_t *link)
 {
 	int status = (int)link->message.parser.status_code;
+	char text[16];
 
+	snprintf(text, sizeof(text), "%d", status);
+	tell(link, "answered", text);
 	if (clock_get_us() > link->due_us + 200000)
 		link->caller->late++;
 	if (status == 200 && link->caller->shards > 0)
@@ -137,6 +218,7 @@
 	else
 		link->caller->failed++;
 	link->is_busy = false;
+	link->rest_us = clock_get_us();
 	if (!link->message.is_persistent) {
 		stream_destroy(link->stream);
 		link->stream = NULL;
@@ -175,6 +257,7 @@
 	if (link->is_busy) {
 		link->caller->cut++;
 		fprintf(stderr, "caller: %s: cut\n", link->id);
+		tell(link, "cut", "");
 	}
 	link->is_busy = false;
 	stream_destroy(link->stream);
@@ -202,33 +285,98 @@
 	return link;
 }
 
+/* The route's name is the first word of the path. */
+static void
+tell_sent(const call_link_t *link)
+{
+	const char *path = link->caller->path + 1;
+	char *route = g_strndup(path, strcspn(path, "/"));
+
+	tell(link, "sent", route);
+	g_free(route);
+}
+
+static void
+write_call(call_link_t *link)
+{
+	caller_t *caller = link->caller;
+	GString *out = g_string_new(NULL);
+
+	snprintf(
+	    link->id, sizeof(link->id), "%s-%d", caller->name, caller->sent++);
+	link->is_busy = true;
+	link->due_us = clock_get_us() + PATIENCE_MS * 1000L;
+	link->leave_us = INT64_MAX;
+	if (gsl_rng_uniform(caller->random) < caller->leave_share)
+		link->leave_us =
+		    clock_get_us() +
+		    (int64_t)(gsl_rng_uniform(caller->random) * LEAVE_MOST_US);
+	tell_sent(link);
+	g_string_printf(out,
+	    "GET %s HTTP/1.1\r\nHost: site.example\r\n"
+	    "Plantainarch-Request-Id: %s\r\nPlantainarch-Deadline-Ms: %d\r\n"
+	    "\r\n",
+	    caller->path, link->id, PATIENCE_MS);
+	stream_write(link->stream, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
 static void
 send_call(caller_t *caller)
 {
 	int target = (int)gsl_rng_uniform_int(
 	    caller->random, (gulong)caller->target_count);
 	call_link_t *link = find_link(caller, target);
-	GString *out;
 
 	if (link == NULL)
 		return;
+	/* The VM may be closing a connection that has rested for long. */
+	if (link->stream != NULL && clock_get_us() > link->rest_us + REUSE_US) {
+		stream_destroy(link->stream);
+		link->stream = NULL;
+	}
 	if (link->stream == NULL)
 		link->stream = stream_connect(
 		    caller->loop, caller->targets[target], &link_hooks, link);
-	if (link->stream == NULL)
+	if (link->stream != NULL)
+		write_call(link);
+}
+
+/* Gives up requests at the time drawn for it, or with the whole caller. */
+static void
+leave_calls(caller_t *caller, int64_t now_us, bool is_over)
+{
+	for (guint i = 0; i < caller->links->len; i++) {
+		call_link_t *link = g_ptr_array_index(caller->links, i);
+
+		if (!link->is_busy || (link->leave_us > now_us && !is_over))
+			continue;
+		tell(link, "left", "");
+		link->is_busy = false;
+		stream_destroy(link->stream);
+		link->stream = NULL;
+		http_message_reset(&link->message);
+	}
+}
+
+/* A line of the standard input is the path of later requests. */
+static void
+handle_path(void *context, int fd, uint32_t events)
+{
+	caller_t *caller = context;
+	char text[256];
+	ssize_t length = read(fd, text, sizeof(text) - 1);
+	char *line;
+
+	if (length <= 0) {
+		loop_unset_fd(caller->loop, fd);
 		return;
-	snprintf(link->id, sizeof(link->id), "c%d-%d", caller->sent++,
-	    (int)(caller->end_us % 100000));
-	link->is_busy = true;
-	link->due_us = clock_get_us() + PATIENCE_MS * 1000L;
-	out = g_string_new(NULL);
-	g_string_printf(out,
-	    "GET %s HTTP/1.1\r\nHost: site.example\r\n"
-	    "Plantainarch-Request-Id: %s\r\nPlantainarch-Deadline-Ms: %d\r\n"
-	    "\r\n",
-	    caller->path, link->id, PATIENCE_MS);
-	stream_write(link->stream, out->str, out->len);
-	g_string_free(out, TRUE);
+	}
+	text[length] = '\0';
+	g_strchomp(text);
+	line = strrchr(text, '\n'); /* the last of several */
+	g_free(caller->path);
+	caller->path = g_strdup(line != NULL ? line + 1 : text);
 }
 
 static bool
@@ -252,11 +400,39 @@
 		caller->next_us += (int64_t)gsl_ran_exponential(
 		    caller->random, 1e6 / caller->rate);
 	}
-	if (now_us >= caller->end_us &&
-	    (!has_busy(caller) || now_us >= caller->end_us + 3000000))
+	leave_calls(caller, now_us, now_us >= caller->end_us + LATEST_US);
+	if (now_us >= caller->end_us && !has_busy(caller))
 		loop_stop(caller->loop);
-	return now_us < caller->end_us ? MIN(caller->next_us, caller->end_us)
-				       : now_us + 10000;
+	if (now_us >= caller->end_us)
+		return now_us + 10000;
+	return MIN(caller->next_us,
+	    caller->leave_share > 0 ? now_us + 10000 : caller->end_us);
+}
+
+static void
+begin_caller(caller_t *caller, double seconds, int seed)
+{
+	caller->loop = loop_create();
+	caller->links = g_ptr_array_new();
+	caller->random = gsl_rng_alloc(gsl_rng_taus2);
+	gsl_rng_set(caller->random, (unsigned long)seed);
+	caller->next_us = clock_get_us();
+	caller->end_us = caller->next_us + (int64_t)(seconds * 1e6);
+	loop_add_timer(caller->loop, run_timer, caller);
+	if (caller->is_told)
+		loop_set_fd(
+		    caller->loop, STDIN_FILENO, EPOLLIN, handle_path, caller);
+}
+
+static void
+set_defaults(caller_t *caller)
+{
+	if (caller->path == NULL)
+		caller->path = g_strdup(GATHERED_PATH "2f");
+	if (caller->name == NULL)
+		caller->name = g_strdup_printf("c%d", (int)getpid());
+	if (caller->rate <= 0)
+		caller->rate = 50;
 }
 
 int
@@ -265,13 +441,20 @@
 	struct arg_str *targets =
 	    arg_str1(NULL, "targets", "A,B", "addresses of the tier's VMs");
 	struct arg_str *path = arg_str0(NULL, "path", "PATH", "(/list/2f)");
+	struct arg_str *name =
+	    arg_str0(NULL, "name", "TEXT", "its requests are TEXT-0, TEXT-1");
 	struct arg_int *shards = arg_int0(
 	    NULL, "shards", "N", "of a gathered answer; 0: forwarded (6)");
+	struct arg_int *seed = arg_int0(NULL, "seed", "N", "(0)");
 	struct arg_dbl *rate = arg_dbl0(NULL, "rate", "N", "a second (50)");
+	struct arg_dbl *leave =
+	    arg_dbl0(NULL, "leave", "SHARE", "of requests given up (0)");
 	struct arg_dbl *seconds = arg_dbl0(NULL, "seconds", "N", "(3)");
+	struct arg_lit *told = arg_lit0(NULL, "tell", "print a history");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { targets, path, shards, rate, seconds, help, end };
+	void *table[] = { targets, path, name, shards, seed, rate, leave,
+		seconds, told, help, end };
 	caller_t caller = { 0 };
 	int errors = arg_parse(argc, argv, table);
 
@@ -286,21 +469,20 @@
 	}
 	caller.targets = g_strsplit(targets->sval[0], ",", -1);
 	caller.target_count = (int)g_strv_length(caller.targets);
-	caller.path = path->count > 0 ? path->sval[0] : "/list/2f";
+	caller.path = path->count > 0 ? g_strdup(path->sval[0]) : NULL;
+	caller.name = name->count > 0 ? name->sval[0] : NULL;
 	caller.shards = shards->count > 0 ? shards->ival[0] : 6;
-	caller.rate = rate->count > 0 ? rate->dval[0] : 50;
-	caller.loop = loop_create();
-	caller.links = g_ptr_array_new();
-	caller.random = gsl_rng_alloc(gsl_rng_taus2);
-	caller.next_us = clock_get_us();
-	caller.end_us =
-	    caller.next_us +
-	    (int64_t)((seconds->count > 0 ? seconds->dval[0] : 3) * 1e6);
-	loop_add_timer(caller.loop, run_timer, &caller);
+	caller.rate = rate->count > 0 ? rate->dval[0] : 0;
+	caller.leave_share = leave->count > 0 ? leave->dval[0] : 0;
+	caller.is_told = told->count > 0;
+	set_defaults(&caller);
+	begin_caller(&caller, seconds->count > 0 ? seconds->dval[0] : 3,
+	    seed->count > 0 ? seed->ival[0] : 0);
 	loop_run(caller.loop);
-	printf("sent %d whole %d partial %d refused %d failed %d wrong %d "
-	       "cut %d late %d\n",
-	    caller.sent, caller.whole, caller.partial, caller.refused,
-	    caller.failed, caller.wrong, caller.cut, caller.late);
+	if (!caller.is_told)
+		printf("sent %d whole %d partial %d refused %d failed %d "
+		       "wrong %d cut %d late %d\n",
+		    caller.sent, caller.whole, caller.partial, caller.refused,
+		    caller.failed, caller.wrong, caller.cut, caller.late);
 	return caller.wrong + caller.cut == 0 ? 0 : 1;
 }
--- /dev/null
+++ b/stand-ins/site_leafs.c
@@ -0,0 +1,183 @@
+/**
+ * @file site_leafs.c
+ * The stand-in's leafs: slots, queues, stamps, and the trouble that they can
+ * be in.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "part_body.h"
+#include "site.h"
+
+site_leaf_t *
+site_leafs_add(site_t *site, const char *id, const char *service,
+    const char *address, const char *zone)
+{
+	site_leaf_t *leaf = g_new0(site_leaf_t, 1);
+
+	leaf->slots = LEAF_SLOTS;
+	g_queue_init(&leaf->queue);
+	g_strlcpy(leaf->id, id, sizeof(leaf->id));
+	g_strlcpy(leaf->service, service, sizeof(leaf->service));
+	g_strlcpy(leaf->address, address, sizeof(leaf->address));
+	g_strlcpy(leaf->zone, zone, sizeof(leaf->zone));
+	g_strlcpy(leaf->fault, "none", sizeof(leaf->fault));
+	g_ptr_array_add(site->leafs, leaf);
+	return leaf;
+}
+
+/* One line of the history that a checker reads. */
+static void
+tell(const site_link_t *link, const char *event, const char *id)
+{
+	const site_leaf_t *leaf = link->port->leaf;
+
+	if (!link->port->site->is_told)
+		return;
+	printf("%" G_GINT64_FORMAT " %s %s %s %s\n", clock_get_us(), event, id,
+	    leaf->service, leaf->id);
+	fflush(stdout);
+}
+
+static bool
+is_hit(site_leaf_t *leaf, site_t *site, const char *fault)
+{
+	return strcmp(leaf->fault, fault) == 0 && site_draw(site) < leaf->share;
+}
+
+void
+site_leafs_finish(site_link_t *link)
+{
+	site_leaf_t *leaf = link->port->leaf;
+	site_t *site = link->port->site;
+	const char *id =
+	    http_get_header(&link->message, "Plantainarch-Request-Id");
+	char headers[1024], extra[2048], stamp[256];
+	char body[PART_BODY_BYTES];
+
+	snprintf(stamp, sizeof(stamp), "%s.%s.%s", leaf->service, leaf->id, id);
+	part_body_fill(stamp, body);
+	link->is_running = false;
+	leaf->busy--;
+	snprintf(headers, sizeof(headers),
+	    "Plantainarch-Request-Id: %s\r\nPlantainarch-Server-Stamp: "
+	    "%s\r\n",
+	    id, stamp);
+	if (is_hit(leaf, site, "reset")) {
+		site_destroy_link(link);
+		return;
+	}
+	if (is_hit(leaf, site, "garbage")) {
+		stream_write(link->stream, "\x01\x02 no answer\r\n\r\n", 15);
+		link->is_ended = true;
+		return;
+	}
+	if (is_hit(leaf, site, "cut")) {
+		snprintf(extra, sizeof(extra),
+		    "HTTP/1.1 200 OK\r\n%sContent-Length: 400\r\n\r\nshort",
+		    headers);
+		stream_write(link->stream, extra, strlen(extra));
+		stream_finish(link->stream);
+		link->stream = NULL;
+		site_destroy_link(link);
+		return;
+	}
+	if (is_hit(leaf, site, "error")) {
+		site_respond(link, 500, headers, "failed", 6);
+		return;
+	}
+	site_respond(link, 200, headers, body, sizeof(body));
+	/* The extra answer stands where the next one is expected. */
+	if (is_hit(leaf, site, "extra")) {
+		snprintf(extra, sizeof(extra),
+		    "HTTP/1.1 200 OK\r\nPlantainarch-Request-Id: other\r\n"
+		    "Plantainarch-Server-Stamp: %s.%s.other\r\n"
+		    "Content-Length: 16\r\n\r\nsixteen bytes...",
+		    leaf->service, leaf->id);
+		stream_write(link->stream, extra, strlen(extra));
+	}
+}
+
+static void
+run_leaf(site_link_t *link)
+{
+	site_leaf_t *leaf = link->port->leaf;
+	site_t *site = link->port->site;
+	const char *target = http_get_target(&link->message);
+	const char *id =
+	    http_get_header(&link->message, "Plantainarch-Request-Id");
+	double work_ms = site->work_ms * (0.5 + site_draw(site));
+	char *key = g_strdup_printf("%s %s", id, leaf->service);
+	int count = GPOINTER_TO_INT(g_hash_table_lookup(site->runs, key)) + 1;
+
+	g_hash_table_insert(site->runs, key, GINT_TO_POINTER(count));
+	if (count > 1 && strstr(target, "/once/") != NULL)
+		site->twice++;
+	site->run_count++;
+	tell(link, "ran", id);
+	if (strcmp(leaf->fault, "slow") == 0)
+		work_ms *= 10;
+	leaf->busy++;
+	link->is_running = true;
+	link->is_queued = false;
+	link->due_us = clock_get_us() + (int64_t)(work_ms * 1000);
+}
+
+void
+site_leafs_handle(site_link_t *link)
+{
+	site_leaf_t *leaf = link->port->leaf;
+	site_t *site = link->port->site;
+	const char *id =
+	    http_get_header(&link->message, "Plantainarch-Request-Id");
+	const char *expected =
+	    http_get_header(&link->message, "Plantainarch-Expect-Instance");
+
+	if (strcmp(leaf->fault, "dark") == 0)
+		return;
+	if (id == NULL) {
+		site->unasked++;
+		site_respond(
+		    link, 400, "Plantainarch-Not-Executed: 1\r\n", "", 0);
+		return;
+	}
+	if (expected == NULL || strcmp(expected, leaf->id) != 0 ||
+	    strcmp(leaf->fault, "moved") == 0) {
+		site_respond(
+		    link, 421, "Plantainarch-Instance-Id: other\r\n", "", 0);
+		return;
+	}
+	tell(link, "arrived", id);
+	if (leaf->is_draining)
+		leaf->arrivals_drained++;
+	if (is_hit(leaf, site, "shed")) {
+		site_respond(
+		    link, 503, "Plantainarch-Not-Executed: 1\r\n", "", 0);
+		return;
+	}
+	if (leaf->busy < leaf->slots) {
+		run_leaf(link);
+		return;
+	}
+	link->is_queued = true;
+	g_queue_push_tail(&leaf->queue, link);
+}
+
+site_leaf_t *
+site_leafs_find(const site_t *site, const char *id)
+{
+	for (guint i = 0; i < site->leafs->len; i++) {
+		site_leaf_t *leaf = g_ptr_array_index(site->leafs, i);
+
+		if (strcmp(leaf->id, id) == 0)
+			return leaf;
+	}
+	return NULL;
+}
+
+void
+site_leafs_start_queued(site_leaf_t *leaf)
+{
+	while (leaf->busy < leaf->slots && !g_queue_is_empty(&leaf->queue))
+		run_leaf(g_queue_pop_head(&leaf->queue));
+}
