Let a fresh process earn its share of the retry slack with its age

Cause: the slack of the retry budget is divided by VMs, and each process counted from nothing, so a VM that was restarted within one window spent its share again. Ruled out by arithmetic: the VM count, since two leaving VMs of nine raise the others' share by 1.28, within the unused 0.2.

--- a/src/budget.c
+++ b/src/budget.c
@@ -58,3 +58,15 @@
 	budget->extra_sum++;
 	return true;
 }
+
+/*
+ * What the process before a restart has spent is not known, so the share grows
+ * with the age: all processes of one VM together keep to it in each window.
+ */
+double
+budget_get_slack(double slack, int vm_count, int64_t age_us, int64_t window_us)
+{
+	double known = (double)CLAMP(age_us, 0, window_us) / (double)window_us;
+
+	return slack / vm_count * known;
+}
--- a/src/part.c
+++ b/src/part.c
@@ -91,10 +91,12 @@
 take_budget(tier_part_t *part, int64_t now_us)
 {
 	const tier_t *tier = part->request->tier;
+	double slack =
+	    budget_get_slack(tier->options.retry_slack, tier->vm_count,
+		now_us - tier->begun_us, tier->options.retry_window_us);
 
-	return budget_take(&part->service->budget, now_us,
-	    tier->options.retry_ratio,
-	    tier->options.retry_slack / tier->vm_count);
+	return budget_take(
+	    &part->service->budget, now_us, tier->options.retry_ratio, slack);
 }
 
 /*
--- a/src/tier.h
+++ b/src/tier.h
@@ -158,6 +158,9 @@
 void budget_note_first(budget_t *budget, int64_t now_us);
 bool budget_take(budget_t *budget, int64_t now_us, double ratio,
     double slack); /* false: an extra request would exceed it */
+/** One VM's share of the fleet's slack, for a process that is so old. */
+double budget_get_slack(
+    double slack, int vm_count, int64_t age_us, int64_t window_us);
 
 /* ---- Gather: the greatest records of many parts ---- */
 
