Add a fault soak over real processes, its checker and planted faults

soak/ starts the stand-in store, one process a leaf, the VMs and callers, injects faults drawn from a seed through signals, proxies on loopback and the stand-ins, and checks the promises from what callers and leafs saw.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 
 EXAMPLES = $(patsubst examples/%.c,$(BUILD)/examples/%,$(wildcard examples/*.c))
 
-all: $(BUILD)/plantainarch $(STANDINS) $(TESTS) $(EXAMPLES) $(BUILD)/bench/virtual $(BUILD)/bench/cost
+all: $(BUILD)/plantainarch $(STANDINS) $(BUILD)/soak $(TESTS) $(EXAMPLES) $(BUILD)/bench/virtual $(BUILD)/bench/cost
 
 help:
 	@echo "make deps    install the Debian packages that the build needs"
@@ -56,6 +56,20 @@
 $(BUILD)/caller: stand-ins/caller.c stand-ins/part_body.c $(OBJECTS)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+SOAK_SOURCES = $(wildcard soak/*.c)
+$(BUILD)/soak: $(filter-out soak/breaks.c,$(SOAK_SOURCES)) soak/soak.h $(OBJECTS)
+	$(CC) $(CFLAGS) -o $@ $(filter-out %.h,$^) $(LIBS)
+
+# Binaries with one deliberate fault each: NAME:FUNCTION that is put in its place.
+BREAKS = repeat:tier_begin refuse:tier_finish_unserved hold:tier_finish_unserved \
+	cut:http_message_finish merge:gather_add budget:budget_take drain:tier_set_directory \
+	revert:tier_set_directory stop:entrance_count_busy deny:route_table_match
+BREAK_FUNCTION = $(patsubst $1:%,%,$(filter $1:%,$(BREAKS)))
+BROKEN = $(foreach break,$(BREAKS),$(BUILD)/broken/$(firstword $(subst :, ,$(break))))
+$(BUILD)/broken/%: soak/breaks.c src/main.c $(OBJECTS)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -DBREAK_$(shell echo $* | tr a-z A-Z) -Wl,--wrap=$(call BREAK_FUNCTION,$*) -o $@ $^ $(LIBS)
+
 $(BUILD)/upstream: stand-ins/upstream.c stand-ins/stub.c $(OBJECTS)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
@@ -71,7 +85,7 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-FORMATTED = $(wildcard src/*.[ch] platform/*.[ch] stand-ins/*.[ch] tests/*.[ch] tests/support/*.[ch] bench/*.c fuzz/*.c examples/*.c)
+FORMATTED = $(wildcard src/*.[ch] platform/*.[ch] stand-ins/*.[ch] soak/*.[ch] tests/*.[ch] tests/support/*.[ch] bench/*.c fuzz/*.c examples/*.c)
 
 format:
 	clang-format -i $(FORMATTED)
--- a/stand-ins/caller.c
+++ b/stand-ins/caller.c
@@ -72,8 +72,10 @@
 report_wrong(call_link_t *link, const char *what)
 {
 	link->caller->wrong++;
-	fprintf(stderr, "caller: %s: %s\n", link->id, what);
-	tell(link, "wrong", what);
+	if (link->caller->is_told)
+		tell(link, "wrong", what);
+	else
+		fprintf(stderr, "caller: %s: %s\n", link->id, what);
 }
 
 /* The stamps of a gathered answer; freed with g_ptr_array_unref. */
@@ -256,8 +258,10 @@
 
 	if (link->is_busy) {
 		link->caller->cut++;
-		fprintf(stderr, "caller: %s: cut\n", link->id);
-		tell(link, "cut", "");
+		if (link->caller->is_told)
+			tell(link, "cut", "");
+		else
+			fprintf(stderr, "caller: %s: cut\n", link->id);
 	}
 	link->is_busy = false;
 	stream_destroy(link->stream);
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -355,16 +355,20 @@
 	}
 }
 
-/* One leaf, "ID,SERVICE", whose entry another process writes. */
-static void
-add_leaf(site_t *site, const char *text, int port)
+/* One leaf, "ID,SERVICE,PORT", whose entry another process writes. */
+static bool
+add_leaf(site_t *site, const char *text)
 {
-	char **words = g_strsplit(text, ",", 2);
+	char **words = g_strsplit(text, ",", 3);
+	bool is_good = g_strv_length(words) == 3;
 
-	open_port(site, PORT_LEAF, port,
-	    site_leafs_add(
-		site, words[0], words[1] != NULL ? words[1] : "", "", ""));
+	if (is_good)
+		open_port(site, PORT_LEAF, atoi(words[2]),
+		    site_leafs_add(site, words[0], words[1], "", ""));
+	else
+		fprintf(stderr, "site: --leaf needs ID,SERVICE,PORT\n");
 	g_strfreev(words);
+	return is_good;
 }
 
 static void
@@ -389,7 +393,7 @@
 	struct arg_int *work =
 	    arg_int0(NULL, "work-ms", "N", "mean work of a request (5)");
 	struct arg_str *leaf = arg_str0(
-	    NULL, "leaf", "ID,SERVICE", "no store, and only this leaf");
+	    NULL, "leaf", "ID,SERVICE,PORT", "no store, and only this leaf");
 	struct arg_lit *store = arg_lit0(NULL, "store", "no leafs");
 	struct arg_lit *tell =
 	    arg_lit0(NULL, "tell", "print a line for each arrival and run");
@@ -413,9 +417,9 @@
 	site.work_ms = work->count > 0 ? work->ival[0] : 5;
 	site.is_told = tell->count > 0;
 	open_port(&site, PORT_CONTROL, port->ival[0], NULL);
-	if (leaf->count > 0)
-		add_leaf(&site, leaf->sval[0], port->ival[0] + 10);
-	else
+	if (leaf->count > 0 && !add_leaf(&site, leaf->sval[0]))
+		return 2;
+	if (leaf->count == 0)
 		open_port(&site, PORT_STORE, port->ival[0] + 1, NULL);
 	if (leaf->count == 0 && store->count == 0) {
 		add_leafs(&site, port->ival[0] + 10);
