Soak: one function a kind of fault, for its begin and its end

The begin and end functions of each kind differed in a constant; a kind now has one function and its constant in the table.

--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -103,6 +103,18 @@
 	cluster->history(cluster->context, text);
 }
 
+void
+cluster_trouble(cluster_t *cluster, bool is_trouble, const char *format, ...)
+{
+	char thing[NAME_BYTES];
+	va_list arguments;
+
+	va_start(arguments, format);
+	vsnprintf(thing, sizeof(thing), format, arguments);
+	va_end(arguments);
+	cluster_note(cluster, "%s %s", is_trouble ? "trouble" : "calm", thing);
+}
+
 static void
 put_off(cluster_t *cluster, int64_t delay_us, later_fn_t run, int number,
     int generation)
@@ -198,7 +210,7 @@
 {
 	char path[64];
 
-	cluster_note(cluster, is_trouble ? "trouble store" : "calm store");
+	cluster_trouble(cluster, is_trouble, "store");
 	snprintf(path, sizeof(path), "/store?mode=%s", mode);
 	call_control(cluster, 0, ignore_reply, path);
 }
@@ -206,8 +218,7 @@
 void
 cluster_signal_store(cluster_t *cluster, int number)
 {
-	cluster_note(
-	    cluster, number == SIGSTOP ? "trouble store" : "calm store");
+	cluster_trouble(cluster, number == SIGSTOP, "store");
 	child_signal(cluster->store, number);
 }
 
@@ -470,8 +481,8 @@
 void
 cluster_trouble_leaf(cluster_t *cluster, int leaf, bool is_trouble)
 {
-	cluster_note(cluster, "%s %s", is_trouble ? "trouble" : "calm",
-	    find_leaf(cluster, leaf)->id);
+	cluster_trouble(
+	    cluster, is_trouble, "%s", find_leaf(cluster, leaf)->id);
 }
 
 static void tell_fault(cluster_t *cluster, int slot, int generation);
@@ -510,8 +521,7 @@
 {
 	cluster_leaf_t *own = find_leaf(cluster, leaf);
 
-	cluster_note(cluster, "%s %s",
-	    strcmp(fault, "none") == 0 ? "calm" : "trouble", own->id);
+	cluster_trouble(cluster, strcmp(fault, "none") != 0, "%s", own->id);
 	g_strlcpy(own->fault, fault, sizeof(own->fault));
 	own->share = share;
 	tell_fault(cluster, own->slot, own->generation);
@@ -711,20 +721,6 @@
 		child_signal(vm->child, signal_number);
 }
 
-void
-cluster_trouble_vm(cluster_t *cluster, int number, bool is_trouble)
-{
-	cluster_note(cluster, "%s vm-%d", is_trouble ? "trouble" : "calm",
-	    cluster->vms[number].number);
-}
-
-void
-cluster_trouble_store_way(cluster_t *cluster, int number, bool is_trouble)
-{
-	cluster_note(cluster, "%s store-vm-%d", is_trouble ? "trouble" : "calm",
-	    cluster->vms[number].number);
-}
-
 int
 cluster_count_vms(const cluster_t *cluster)
 {
--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -72,7 +72,7 @@
 	    1 + (int)gsl_rng_uniform_int(random, (gulong)kind->series);
 
 	for (int i = 0; i < repeats; i++) {
-		soak_step_t step = { .at_us = at_us, .kind = kind->name };
+		soak_step_t step = { .at_us = at_us, .kind = kind };
 
 		step.target = (int)gsl_rng_uniform_int(random, TARGETS);
 		step.value = gsl_rng_uniform(random);
@@ -124,7 +124,7 @@
 
 		printf("%8.3f %-5s %-14s target %6d value %.3f\n",
 		    (double)step->at_us / 1e6, step->is_end ? "end" : "begin",
-		    step->kind, step->target, step->value);
+		    step->kind->name, step->target, step->value);
 	}
 }
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -94,9 +94,9 @@
 		if (step->at_us > age_us)
 			return;
 		fprintf(soak->history, "# %" G_GINT64_FORMAT " %s %s %d %.3f\n",
-		    clock_get_us(), step->is_end ? "end" : "begin", step->kind,
-		    step->target, step->value);
-		fault_run(soak->cluster, step);
+		    clock_get_us(), step->is_end ? "end" : "begin",
+		    step->kind->name, step->target, step->value);
+		step->kind->run(soak->cluster, step);
 		soak->next_step++;
 	}
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -64,9 +64,11 @@
 
 /* ---- Schedule ---- */
 
+typedef struct fault_kind fault_kind_t;
+
 typedef struct soak_step {
 	int64_t at_us; /* from the start of the run */
-	const char *kind;
+	const fault_kind_t *kind;
 	int target;   /* drawn; taken modulo the number of things */
 	double value; /* 0 to 1, for the kind to use */
 	bool is_end;  /* else the fault begins */
@@ -161,8 +163,9 @@
 void cluster_start_vm(cluster_t *cluster, int vm); /* if it does not run */
 void cluster_stop_vm(cluster_t *cluster, int vm);  /* SIGTERM, then SIGKILL */
 void cluster_signal_vm(cluster_t *cluster, int vm, int number);
-void cluster_trouble_vm(cluster_t *cluster, int vm, bool is_trouble);
-void cluster_trouble_store_way(cluster_t *cluster, int vm, bool is_trouble);
+/** A thing whose trouble the cluster does not see itself. */
+void cluster_trouble(cluster_t *cluster, bool is_trouble, const char *format,
+    ...) G_GNUC_PRINTF(3, 4);
 void cluster_set_store(cluster_t *cluster, const char *mode, bool is_trouble);
 void cluster_signal_store(cluster_t *cluster, int number);
 void cluster_kill_leaf(
@@ -180,19 +183,18 @@
 
 /* ---- Faults ---- */
 
-typedef void (*fault_fn_t)(cluster_t *cluster, int target, double value);
-
-/** One kind of fault. */
-typedef struct fault_kind {
+/** One kind of fault. Its function runs for the begin and the end. */
+struct fault_kind {
 	const char *name;
 	int weight;		   /* of the draw */
-	int64_t least_us, most_us; /* how long it lasts; 0: at once */
+	int64_t least_us, most_us; /* how long it lasts; 0: at once, no end */
 	int series;		   /* most repeats */
-	fault_fn_t begin, end;	   /* end is NULL for what lasts not */
-} fault_kind_t;
+	void (*run)(cluster_t *cluster, const soak_step_t *step);
+	proxy_fault_t proxy;
+	const char *mode; /* of the store */
+};
 
 const fault_kind_t *fault_get_kinds(int *count);
-void fault_run(cluster_t *cluster, const soak_step_t *step);
 /** Ends whatever is still in force. */
 void fault_heal(cluster_t *cluster);
 
