--- a/src/budget.c
+++ b/src/budget.c
@@ -61,12 +61,14 @@
 
 /*
  * What the process before a restart has spent is not known, so the share grows
- * with the age: all processes of one VM together keep to it in each window.
+ * with the age, from the part of the bound that no process uses: all processes
+ * of one VM together keep to the bound in each window.
  */
 double
 budget_get_slack(double slack, int vm_count, int64_t age_us, int64_t window_us)
 {
-	double known = (double)CLAMP(age_us, 0, window_us) / (double)window_us;
+	double age = (double)CLAMP(age_us, 0, window_us) / (double)window_us;
+	double unused = 1.0 - BUDGET_USED;
 
-	return slack / vm_count * known;
+	return slack / vm_count * (unused + BUDGET_USED * age);
 }
