--- a/src/source.c
+++ b/src/source.c
@@ -21,7 +21,6 @@
 #define VANISH_PART	  0.4	  /* of drain_ms, after a store that was well */
 #define UNWELL_US	  3000000 /* a store is well this long after an outage */
 #define VM_POLL_US	  15000000
-#define PROBE_US	  2000000 /* a stale read, a tenth of a call's price */
 #define VM_POLL_FIRST_US  2500000 /* all VMs start within 0.3 s */
 #define VM_BEAT_US	  20000000
 #define VM_LAPSE_US	  50000000 /* two beats and a poll */
@@ -417,6 +416,10 @@
 	g_string_free(call, TRUE);
 }
 
+/*
+ * A stale read, a tenth of a call's price. It comes once in the time in which a
+ * configuration is to be in force, so an outage of that length is noticed.
+ */
 static void
 send_probe(feed_state_t *feed)
 {
@@ -520,7 +523,7 @@
 		return (
 		    int64_t)((double)settings->drain_us * LEAFS_GATHER_PART);
 	default:
-		return feed->source->beat == 0 ? 0 : PROBE_US;
+		return feed->source->beat == 0 ? 0 : settings->apply_us;
 	}
 }
 
@@ -599,7 +602,7 @@
 		/* A stale replica may not know this VM yet. */
 		http_message_reset(&feed->message);
 		note_regained(feed);
-		rest(feed, now_us, PROBE_US);
+		rest(feed, now_us, get_rest_us(feed));
 	} else if (status != 200) {
 		char why[64];
 
