--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 
 EXAMPLES = $(patsubst examples/%.c,$(BUILD)/examples/%,$(wildcard examples/*.c))
 
-all: $(BUILD)/plantainarch $(STANDINS) $(BUILD)/soak $(TESTS) $(EXAMPLES) $(BUILD)/bench/virtual $(BUILD)/bench/cost
+all: $(BUILD)/plantainarch $(STANDINS) $(BUILD)/soak $(BUILD)/broken/merge $(BUILD)/broken/deny $(TESTS) $(EXAMPLES) $(BUILD)/bench/virtual $(BUILD)/bench/cost
 
 help:
 	@echo "make deps    install the Debian packages that the build needs"
@@ -29,7 +29,10 @@
 	@echo "make demo    install, build, run the main job on stand-ins"
 	@echo "make bench   run the policy variants against the scenarios"
 	@echo "make slopes  measure the slopes that docs/CAPACITY.md rests on"
-	@echo "make soak    run the randomised tests for long"
+	@echo "make random  run the randomised tests for long"
+	@echo "make soak    run the fault soak over real processes, SOAK_SEEDS seeds"
+	@echo "make soak-regressions  the seeds that ever failed"
+	@echo "make soak-breaks  show that the soak finds each deliberate fault"
 	@echo "make fuzz    run the fuzzer for FUZZ_SECONDS"
 	@echo "make capacity  measure slopes and rewrite the tables of docs/CAPACITY.md"
 	@echo "make lint    check the formatting and run the linter"
@@ -104,7 +107,7 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all help deps format lint test demo bench slopes soak clean
+.PHONY: all help deps format lint test demo bench slopes soak soak-regressions soak-breaks random clean
 
 # One libFuzzer binary for all parsers; bounded runs only.
 FUZZ_SECONDS ?= 600
@@ -124,10 +127,23 @@
 slopes: all
 	@bench/slopes.sh $(BUILD)
 
-soak: all
+random: all
 	$(BUILD)/tests/core_random 1000 200 120
 	$(BUILD)/tests/control_random --first-seed 1000 --seeds 200 --vms 20
 
+# Real processes under faults; a seed a minute.
+SOAK_SEED ?= 1
+SOAK_SEEDS ?= 50
+soak: all
+	$(BUILD)/soak --build $(BUILD) --seed $(SOAK_SEED) --seeds $(SOAK_SEEDS)
+
+# The seeds that ever failed, and each deliberate fault until a seed finds it.
+soak-regressions: all
+	soak/regressions.sh $(BUILD)
+
+soak-breaks: all $(BROKEN)
+	soak/breaks.sh $(BUILD) $(BREAKS)
+
 .PHONY: fuzz
 
 capacity:
--- /dev/null
+++ b/soak/regressions.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Runs the seeds that have failed before: regressions.sh BUILD
+set -u
+cd "$(dirname "$0")/.."
+build=${1:-build} failed=0
+while read -r seed seconds _; do
+	case $seed in ''|'#'*) continue ;; esac
+	"$build/soak" --build "$build" --quiet --seed "$seed" --seconds "$seconds" --folder "$build/soak-runs" </dev/null || failed=$((failed + 1))
+done <soak/seeds.txt
+echo "$failed regressions failed"
+[ $failed -eq 0 ]
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -50,7 +50,7 @@
 	int64_t seconds_us;
 	FILE *history;
 	GHashTable *promises; /* broken ones -> count */
-	bool has_calls, is_healed, is_final, is_quiet;
+	bool has_calls, is_healed, is_final, is_quiet, is_timed;
 } soak_t;
 
 typedef struct soak_options {
@@ -115,7 +115,8 @@
 static void
 run_phase(soak_t *soak, int64_t age_us)
 {
-	int64_t calls_us = soak->seconds_us + RECOVERY_US + FINAL_US;
+	int64_t calls_us =
+	    soak->seconds_us + (soak->is_timed ? RECOVERY_US + FINAL_US : 0);
 
 	if (!soak->has_calls && age_us >= CALLS_FROM_US) {
 		soak->has_calls = true;
@@ -127,7 +128,8 @@
 		run_steps(soak, INT64_MAX);
 		fault_heal(soak->cluster);
 	}
-	if (!soak->is_final && age_us >= soak->seconds_us + RECOVERY_US) {
+	if (soak->is_timed && !soak->is_final &&
+	    age_us >= soak->seconds_us + RECOVERY_US) {
 		soak->is_final = true;
 		cluster_note(soak->cluster, "final");
 	}
@@ -239,7 +241,8 @@
 run_seed(const soak_options_t *options)
 {
 	soak_t soak = { .begun_us = clock_get_us(),
-		.is_quiet = options->is_quiet };
+		.is_quiet = options->is_quiet,
+		.is_timed = options->is_timed };
 	char *path = g_strdup_printf("%s/history", options->folder);
 	bool is_good;
 
