Tell refused callers when a leaf may be tried again

A refusal because no leaf could be used said 0.3 s whatever was known. It now says when the soonest leaf of each failed shard ends its rest, or how long the queue is for parts that still wait; 0.3 s only where no leaf is known at all. tests/tier_reach holds the cases.

--- a/soak/check.c
+++ b/soak/check.c
@@ -14,7 +14,6 @@
 #define LEAFS_A_PART	8
 #define SERVED_COUNT	20 /* fewer requests tell nothing of a share */
 #define BUDGET_CHECK_US 500000
-#define DAY_START_US	(INT64_MIN / 4)
 
 typedef struct history_event {
 	int64_t time_us;
@@ -180,17 +179,23 @@
 
 /* ---- What is known at a moment ---- */
 
+/* The value of a name, zeroed where it is new. */
+static void *
+find_or_add(GHashTable *table, const char *name, gsize size)
+{
+	void *value = g_hash_table_lookup(table, name);
+
+	if (value == NULL) {
+		value = g_malloc0(size);
+		g_hash_table_insert(table, g_strdup(name), value);
+	}
+	return value;
+}
+
 static calm_t *
 find_calm(check_t *check, const char *thing)
 {
-	calm_t *calm = g_hash_table_lookup(check->calms, thing);
-
-	if (calm != NULL)
-		return calm;
-	calm = g_new0(calm_t, 1);
-	calm->until_us = DAY_START_US;
-	g_hash_table_insert(check->calms, g_strdup(thing), calm);
-	return calm;
+	return find_or_add(check->calms, thing, sizeof(calm_t));
 }
 
 /* Whether the thing was in no trouble from since_us until now. */
@@ -199,7 +204,7 @@
 {
 	const calm_t *calm = find_calm(check, thing);
 
-	return calm->troubles == 0 && calm->until_us < since_us;
+	return calm->troubles == 0 && calm->until_us < MAX(since_us, 1);
 }
 
 /* Whether bounds of time hold for a VM, from since_us until now. */
@@ -232,39 +237,26 @@
 static vm_state_t *
 find_vm(check_t *check, const char *name)
 {
-	vm_state_t *vm = g_hash_table_lookup(check->vms, name);
-
-	if (vm != NULL)
-		return vm;
-	vm = g_new0(vm_state_t, 1);
-	g_hash_table_insert(check->vms, g_strdup(name), vm);
-	return vm;
+	return find_or_add(check->vms, name, sizeof(vm_state_t));
 }
 
 static service_counts_t *
 find_service(check_t *check, const char *name)
 {
-	service_counts_t *service = g_hash_table_lookup(check->services, name);
+	service_counts_t *service =
+	    find_or_add(check->services, name, sizeof(service_counts_t));
 
-	if (service != NULL)
-		return service;
-	service = g_new0(service_counts_t, 1);
-	service->asked_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
-	service->extra_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
-	g_hash_table_insert(check->services, g_strdup(name), service);
+	if (service->asked_us == NULL) {
+		service->asked_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
+		service->extra_us = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	}
 	return service;
 }
 
 static part_runs_t *
 find_part(request_t *request, const char *service)
 {
-	part_runs_t *part = g_hash_table_lookup(request->parts, service);
-
-	if (part != NULL)
-		return part;
-	part = g_new0(part_runs_t, 1);
-	g_hash_table_insert(request->parts, g_strdup(service), part);
-	return part;
+	return find_or_add(request->parts, service, sizeof(part_runs_t));
 }
 
 /* ---- Callers ---- */
@@ -625,14 +617,11 @@
 static void
 take_drained(check_t *check, const history_event_t *event)
 {
-	int64_t *since_us;
+	int64_t *since_us =
+	    find_or_add(check->drained, event->words[0], sizeof(int64_t));
 
-	if (g_hash_table_contains(check->drained, event->words[0]))
-		return;
-	since_us = g_new(int64_t, 1);
-	*since_us = event->time_us;
-	g_hash_table_insert(
-	    check->drained, g_strdup(event->words[0]), since_us);
+	if (*since_us == 0)
+		*since_us = event->time_us;
 }
 
 /* A VM that can run ends before it is killed. */
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -366,15 +366,18 @@
 	void *table[] = { seed, seeds, seconds, vms, shards, port, build,
 		program, folder, only, untimed, print, history, quiet, help,
 		end };
-	soak_options_t options = { .seed = 1,
-		.seconds = 30,
-		.vms = 6,
-		.shards = 6,
-		.port = 26000,
-		.build = "build",
-		.program = "plantainarch" };
-	int errors = arg_parse(argc, argv, table);
-
+	soak_options_t options;
+	int errors;
+
+	seed->ival[0] = seeds->ival[0] = 1;
+	seconds->dval[0] = 30;
+	vms->ival[0] = shards->ival[0] = 6;
+	port->ival[0] = 26000;
+	build->sval[0] = "build";
+	program->sval[0] = "plantainarch";
+	folder->sval[0] = "build/soak-runs";
+	only->sval[0] = NULL;
+	errors = arg_parse(argc, argv, table);
 	if (help->count > 0) {
 		printf("Real processes under faults from a seed.\n");
 		arg_print_glossary(stdout, table, "  %-20s %s\n");
@@ -384,29 +387,21 @@
 		arg_print_errors(stderr, end, argv[0]);
 		return 2;
 	}
-	if (seed->count > 0)
-		options.seed = (uint64_t)seed->ival[0];
-	if (seconds->count > 0)
-		options.seconds = seconds->dval[0];
-	if (vms->count > 0)
-		options.vms = CLAMP(vms->ival[0], 1, SOAK_VMS_MOST);
-	if (shards->count > 0)
-		options.shards = CLAMP(shards->ival[0], 3, SOAK_LEAFS_MOST / 4);
-	if (port->count > 0)
-		options.port = port->ival[0];
-	if (build->count > 0)
-		options.build = build->sval[0];
-	if (program->count > 0)
-		options.program = program->sval[0];
-	options.only = only->count > 0 ? only->sval[0] : NULL;
-	options.is_timed = untimed->count == 0;
-	options.is_quiet = quiet->count > 0;
+	options = (soak_options_t){ .seed = (uint64_t)seed->ival[0],
+		.seconds = seconds->dval[0],
+		.vms = CLAMP(vms->ival[0], 1, SOAK_VMS_MOST),
+		.shards = CLAMP(shards->ival[0], 3, SOAK_LEAFS_MOST / 4),
+		.port = port->ival[0],
+		.build = build->sval[0],
+		.program = program->sval[0],
+		.only = only->sval[0],
+		.is_timed = untimed->count == 0,
+		.is_quiet = quiet->count > 0 };
 	if (history->count > 0)
 		return check_history(history->filename[0], options.is_timed);
 	if (print->count > 0) {
 		schedule_print(draw_steps(&options));
 		return 0;
 	}
-	return run_seeds(&options, seeds->count > 0 ? seeds->ival[0] : 1,
-	    folder->count > 0 ? folder->sval[0] : "build/soak-runs");
+	return run_seeds(&options, seeds->ival[0], folder->sval[0]);
 }
--- a/src/reach.c
+++ b/src/reach.c
@@ -127,3 +127,21 @@
 		return 0;
 	return (int64_t)(service->latency_us * (double)(ahead + 1) / room);
 }
+
+int64_t
+reach_get_return_us(const tier_service_t *service, int64_t now_us)
+{
+	const tier_leaf_t *leaf;
+	int64_t soonest_us = -1;
+
+	LIST_FOREACH(leaf, &service->leafs, in_service)
+	{
+		int64_t rest_us = MAX(leaf->belief.down_until_us - now_us, 0);
+
+		if (leaf->is_gone || leaf->is_moved || leaf->entry.is_draining)
+			continue;
+		if (soonest_us < 0 || rest_us < soonest_us)
+			soonest_us = rest_us;
+	}
+	return soonest_us;
+}
--- a/src/tier.c
+++ b/src/tier.c
@@ -12,15 +12,14 @@
 
 #include "tier_private.h"
 
-#define CALLER_RTT_US	     2000 /* to a caller, where it is not measured */
-#define LATE_FACTOR	     2 /* objectives to wait for a late whole answer */
-#define ABANDON_US	     250000 /* a leaf may finish what nobody waits for */
-#define SWEEP_US	     50000  /* between looks at abandoned attempts */
-#define RETRY_AFTER_US	     300000 /* without a better estimate */
-#define RETRY_AFTER_LEAST_US 50000
-#define NEVER_US	     (INT64_MAX / 2)
-#define SPREAD_MARGIN	     1.6 /* of the mean: most requests then keep it */
-#define SETTLE_US	     10000000 /* leafs drop dead connections in this */
+#define CALLER_RTT_US  2000   /* to a caller, where it is not measured */
+#define LATE_FACTOR    2      /* objectives to wait for a late whole answer */
+#define ABANDON_US     250000 /* a leaf may finish what nobody waits for */
+#define SWEEP_US       50000  /* between looks at abandoned attempts */
+#define RETRY_AFTER_US 300000 /* without a better estimate */
+#define NEVER_US       (INT64_MAX / 2)
+#define SPREAD_MARGIN  1.6	/* of the mean: most requests then keep it */
+#define SETTLE_US      10000000 /* leafs drop dead connections in this */
 
 static void
 destroy_route_state(gpointer data)
--- a/src/tier.h
+++ b/src/tier.h
@@ -322,5 +322,7 @@
 /** How long a part of this rank would wait here for a free connection. */
 int64_t reach_get_wait_us(
     const tier_service_t *service, int rank, int64_t now_us);
+/** Until a leaf may be tried again; 0: one may now; -1: there is none. */
+int64_t reach_get_return_us(const tier_service_t *service, int64_t now_us);
 
 #endif
--- a/src/tier_answers.c
+++ b/src/tier_answers.c
@@ -9,7 +9,7 @@
 
 #define MISSING_LINES_MOST 3	  /* of one request */
 #define SERVED_SAMPLE	   100	  /* each such plain success has a line */
-#define RETRY_AFTER_US	   300000 /* without a better estimate */
+#define RETRY_AFTER_US	   300000 /* no leaf is known at all */
 
 /* One line for each request that did not simply succeed in time. */
 void
@@ -106,6 +106,30 @@
 	}
 }
 
+/*
+ * When it is worth to come back: a leaf of each shard that has failed may be
+ * tried again, and the queues of those that wait are done.
+ */
+static int64_t
+get_retry_after_us(const tier_request_t *request, int64_t now_us)
+{
+	int64_t most_us = 0;
+
+	for (int i = 0; i < request->part_count; i++) {
+		const tier_part_t *part = &request->parts[i];
+		int64_t own_us = 0;
+
+		if (part->state == PART_FAILED)
+			own_us = reach_get_return_us(part->service, now_us);
+		else if (part->state == PART_WAITING)
+			own_us = reach_get_wait_us(
+			    part->service, request->rank, now_us);
+		/* Without any leaf only the directory can bring one. */
+		most_us = MAX(most_us, own_us < 0 ? RETRY_AFTER_US : own_us);
+	}
+	return MAX(most_us, RETRY_AFTER_LEAST_US);
+}
+
 /*
  * A refusal promises that nothing has run. What may have run ends with a
  * status that promises nothing.
@@ -120,7 +144,7 @@
 	tier_log_end(request, now_us,
 	    status == 503 ? "refused" : (is_late ? "late" : "failed"));
 	tier_answer_own(request->tier, request->caller, status,
-	    status == 503 ? RETRY_AFTER_US : 0,
+	    status == 503 ? get_retry_after_us(request, now_us) : 0,
 	    status == 503 ? "no leaf can run this now"
 			  : "the leafs did not answer");
 	tier_end_request(request);
--- a/src/tier_private.h
+++ b/src/tier_private.h
@@ -8,7 +8,8 @@
 
 #include "tier.h"
 
-#define RETURN_MARGIN_US 8000 /* processing here and on the way back */
+#define RETURN_MARGIN_US     8000  /* processing here and on the way back */
+#define RETRY_AFTER_LEAST_US 50000 /* a caller's way there and back */
 
 typedef enum part_state {
 	PART_WAITING, /* for a free connection */
--- /dev/null
+++ b/tests/tier_reach.c
@@ -0,0 +1,79 @@
+/**
+ * @file tier_reach.c
+ * When a refused caller is told to come back: what the leafs of one service
+ * say, over the ways in which none of them can be used.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "tier.h"
+
+#define NOW_US	   10000000
+#define LEAFS_MOST 4
+
+typedef enum leaf_state { SOUND, DOWN, DRAINING, MOVED, GONE } leaf_state_t;
+
+typedef struct case_leaf {
+	leaf_state_t state;
+	int64_t down_us; /* from now */
+} case_leaf_t;
+
+static const struct test_case {
+	const char *name;
+	int count;
+	case_leaf_t leafs[LEAFS_MOST];
+	int64_t return_us;
+} cases[] = {
+	{ "no leaf is known", 0, { { SOUND, 0 } }, -1 },
+	{ "one is sound", 2, { { DOWN, 700000 }, { SOUND, 0 } }, 0 },
+	{ "the sooner of two that are down", 2,
+	    { { DOWN, 700000 }, { DOWN, 250000 } }, 250000 },
+	{ "a rest that is over", 1, { { DOWN, -5000 } }, 0 },
+	{ "one that drains does not count", 2,
+	    { { DRAINING, 0 }, { DOWN, 900000 } }, 900000 },
+	{ "one whose address has another leaf does not count", 2,
+	    { { MOVED, 0 }, { DOWN, 300000 } }, 300000 },
+	{ "all are leaving", 2, { { DRAINING, 0 }, { GONE, 0 } }, -1 },
+};
+
+static void
+set_leaf(tier_leaf_t *leaf, const case_leaf_t *wanted)
+{
+	memset(leaf, 0, sizeof(*leaf));
+	leaf->entry.is_draining = wanted->state == DRAINING;
+	leaf->is_moved = wanted->state == MOVED;
+	leaf->is_gone = wanted->state == GONE;
+	if (wanted->state == DOWN)
+		leaf->belief.down_until_us = NOW_US + wanted->down_us;
+}
+
+static bool
+run_case(const struct test_case *wanted)
+{
+	tier_leaf_t leafs[LEAFS_MOST];
+	tier_service_t service = { 0 };
+	int64_t return_us;
+
+	LIST_INIT(&service.leafs);
+	for (int i = 0; i < wanted->count; i++) {
+		set_leaf(&leafs[i], &wanted->leafs[i]);
+		LIST_INSERT_HEAD(&service.leafs, &leafs[i], in_service);
+	}
+	return_us = reach_get_return_us(&service, NOW_US);
+	if (return_us == wanted->return_us)
+		return true;
+	printf("%s: %" G_GINT64_FORMAT " instead of %" G_GINT64_FORMAT "\n",
+	    wanted->name, return_us, wanted->return_us);
+	return false;
+}
+
+int
+main(void)
+{
+	bool is_good = true;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		is_good = run_case(&cases[i]) && is_good;
+	printf("%d cases\n", (int)G_N_ELEMENTS(cases));
+	return is_good ? 0 : 1;
+}
