Soak: account for its own stalls; start the next set of leafs one by one

Traced: all arrivals of all VMs stood still for 1.61 s while the soak started 120 leafs at once, and its proxies with it, so the callers' closes reached the VMs that late. The soak starts them 10 ms apart, and a stall of its own over 0.3 s counts as trouble of every VM's connections.

--- a/soak/breaks.c
+++ b/soak/breaks.c
@@ -40,17 +40,18 @@
 	REAL(tier_finish_unserved)(request, now_us, is_late);
 }
 
-#elif defined(BREAK_HOLD) /* never ends what it can't serve */
+#elif defined(BREAK_HOLD) /* never ends what has no route */
 
-#define NEVER_US (INT64_MAX / 2)
+void REAL(tier_answer_own)(tier_t *tier, void *caller, int status,
+    int64_t retry_after_us, const char *reason);
 
 void
-WRAP(tier_finish_unserved)(
-    tier_request_t *request, int64_t now_us, bool is_late)
+WRAP(tier_answer_own)(tier_t *tier, void *caller, int status,
+    int64_t retry_after_us, const char *reason)
 {
-	request->deadline_us = NEVER_US;
-	request->due_us = NEVER_US;
-	request->late_us = NEVER_US;
+	if (status != 404)
+		REAL(tier_answer_own)
+	(tier, caller, status, retry_after_us, reason);
 }
 
 #elif defined(BREAK_CUT) /* takes an answer that was cut short for whole */
--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -29,6 +29,7 @@
 
 #define LAPSE_US	 1200000 /* the entry of a dead leaf is removed */
 #define REUSE_US	 2000000 /* an address is not used again sooner */
+#define START_US	 10000	 /* from one leaf of a bank to the next */
 #define RESTART_US	 300000	 /* of a VM that has ended */
 #define REPARTITION_US	 1500000 /* from the new leafs' start to the change */
 #define DRAIN_SLACK_US	 2500000 /* leafs serve on a little longer */
@@ -398,15 +399,21 @@
 }
 
 static void
-restart_slot(cluster_t *cluster, int slot, int generation)
+start_slot(cluster_t *cluster, int slot, int generation)
 {
 	cluster_leaf_t *leaf = &cluster->leafs[slot];
 
-	if (leaf->child == NULL && leaf->generation == generation &&
-	    slot / cluster->leaf_count == cluster->bank)
+	if (leaf->child == NULL && leaf->generation == generation)
 		start_leaf(leaf);
 }
 
+static void
+restart_slot(cluster_t *cluster, int slot, int generation)
+{
+	if (slot / cluster->leaf_count == cluster->bank)
+		start_slot(cluster, slot, generation);
+}
+
 static void
 end_drained(cluster_t *cluster, int slot, int generation)
 {
@@ -537,8 +544,8 @@
 
 		snprintf(leaf->service, sizeof(leaf->service), "%s-%d", set,
 		    i / LEAFS_A_SHARD);
-		if (leaf->child == NULL)
-			start_leaf(leaf);
+		put_off(cluster, i * START_US, start_slot, leaf->slot,
+		    leaf->generation);
 	}
 }
 
@@ -583,7 +590,8 @@
 	snprintf(set, sizeof(set), "s%dof%d", cluster->set + 1,
 	    count_shards(cluster));
 	start_bank(cluster, bank, set);
-	put_off(cluster, REPARTITION_US, change_bank, bank, 0);
+	put_off(cluster, REPARTITION_US + cluster->leaf_count * START_US,
+	    change_bank, bank, 0);
 }
 
 /* ---- VMs ---- */
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -3,6 +3,7 @@
  * TCP connections that pass through this process, and what a network does to
  * them at times.
  */
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
@@ -104,6 +105,11 @@
 	int accepted = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 	proxy_link_t *link;
 
+	if (accepted < 0 && errno == EMFILE) {
+		fprintf(stderr, "soak: no descriptor is left; use fewer VMs or "
+				"shards\n");
+		exit(1);
+	}
 	if (accepted < 0)
 		return;
 	link = g_new0(proxy_link_t, 1);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -17,6 +17,7 @@
 #define FINAL_US	 5000000  /* of calls after the recovery */
 #define LATEST_US	 4000000  /* answers after the last call */
 #define LAG_US		 2000000  /* lines of all processes are in by then */
+#define STALL_US	 300000
 #define CHECK_US	 250000
 #define RATE		 120 /* requests a second */
 #define SLACK_US	 700000
@@ -46,7 +47,7 @@
 	cluster_t *cluster;
 	GArray *steps;
 	guint next_step;
-	int64_t begun_us, faults_end_us, check_us, progress_us;
+	int64_t begun_us, faults_end_us, check_us, progress_us, last_us;
 	int64_t seconds_us;
 	FILE *history;
 	GHashTable *promises; /* broken ones -> count */
@@ -137,6 +138,21 @@
 		loop_stop(soak->loop);
 }
 
+/* While the soak itself stood still, its proxies held all connections. */
+static void
+note_stall(soak_t *soak, int64_t now_us)
+{
+	int vms = cluster_count_vms(soak->cluster);
+
+	for (int i = 1; soak->last_us != 0 &&
+			now_us - soak->last_us > STALL_US && i <= vms;
+	     i++) {
+		cluster_trouble(soak->cluster, true, "vm-%d", i);
+		cluster_trouble(soak->cluster, false, "vm-%d", i);
+	}
+	soak->last_us = now_us;
+}
+
 static int64_t
 run_timer(void *context)
 {
@@ -144,6 +160,8 @@
 	int64_t now_us = clock_get_us();
 	int64_t age_us = now_us - soak->begun_us;
 
+	note_stall(soak, now_us);
+
 	cluster_run(soak->cluster, now_us);
 	run_steps(soak, age_us);
 	run_phase(soak, age_us);
