Ask for a lost store with the cheap reads only; let the leafs' watch rest longer

Two causes in the counts of calls: in an outage each VM tried three feeds every 0.8 s, and refused calls cost as much; and the watch of the leafs, renewed every 1.75 s while they change. Now only the stale reads, a tenth of the price, ask for a lost store, the other feeds go on when those answer, or after 5 s; the leafs' watch rests half of the drain bound, and a new configuration ends that rest, since it may name leafs that have just started.

What is left is one watch of each VM for each span in which leafs change.

--- a/src/source.c
+++ b/src/source.c
@@ -16,7 +16,8 @@
 #define WATCH_SLACK_US	  2000000 /* a watch that is silent longer is dead */
 #define CALL_TIMEOUT_US	  1500000 /* answers take milliseconds */
 #define BACKOFF_FIRST_US  100000
-#define BACKOFF_MOST_US	  800000 /* a regained store is used within 1 s */
+#define LOST_WAIT_US	  5000000 /* unless the cheap reads answer again */
+#define BACKOFF_MOST_US	  800000  /* a regained store is used within 1 s */
 #define VANISH_US	  2500000 /* entries lost in an outage are back by then */
 #define VANISH_PART	  0.4	  /* of drain_ms, after a store that was well */
 #define UNWELL_US	  3000000 /* a store is well this long after an outage */
@@ -30,7 +31,7 @@
  * waits a part of the time that the change may take, so that changes which come
  * together cost one call.
  */
-#define LEAFS_GATHER_PART  0.35
+#define LEAFS_GATHER_PART  0.5
 #define CONFIG_GATHER_PART 0.15
 #define EVENTS_MANY	   100 /* more may follow: the store answers in pages */
 #define PUBLISH_DELAY_US   2000 /* changes that arrive together */
@@ -167,6 +168,9 @@
 	route_table_release(source->table);
 	source->table = table;
 	metric_set(METRIC_TIER_VERSION, (int64_t)table->version);
+	/* It may name services whose leafs have just started. */
+	if (source->feeds[FEED_LEAFS].step == STEP_RESTING)
+		source->feeds[FEED_LEAFS].next_us = 0;
 	mark_changed(source);
 }
 
@@ -330,6 +334,29 @@
 	feed->next_us = now_us + delay_us;
 }
 
+/* Whether the whole store is lost shows from reads of a tenth of the price. */
+static void
+ask_cheaply(source_t *source, int64_t now_us)
+{
+	feed_state_t *vms = &source->feeds[FEED_VMS];
+
+	if (!vms->is_lost && vms->step == STEP_RESTING)
+		vms->next_us = MIN(vms->next_us, now_us);
+}
+
+/*
+ * While the cheap reads fail too, the other feeds wait for those: each call is
+ * paid for, also one that is refused.
+ */
+static bool
+is_waiting_for_store(const feed_state_t *feed, int64_t now_us)
+{
+	const feed_state_t *vms = &feed->source->feeds[FEED_VMS];
+
+	return feed != vms && feed->is_lost && vms->is_lost &&
+	       now_us - feed->lost_us < LOST_WAIT_US;
+}
+
 /* A call failed: the connection is not used again. */
 static void
 fail_call(feed_state_t *feed, const char *why)
@@ -350,6 +377,7 @@
 	feed->lost_us = now_us;
 	metric_add(METRIC_TIER_STORE_FAILURES, 1);
 	rest(feed, now_us, feed->backoff_us);
+	ask_cheaply(feed->source, now_us);
 }
 
 static void
@@ -437,7 +465,9 @@
 {
 	source_t *source = feed->source;
 
-	if (feed->feed == FEED_VMS) {
+	if (is_waiting_for_store(feed, now_us))
+		feed->next_us = feed->lost_us + LOST_WAIT_US;
+	else if (feed->feed == FEED_VMS) {
 		/* The VMs of before a restart are known before anything is
 		 * shared with them. */
 		if (!source->is_vm_known)
@@ -458,15 +488,18 @@
 }
 
 /*
- * A store that was silent may have lost the watches that it was sent: nothing
- * else shows it before their time is over. They go on from the same revision.
+ * The store answers again. Feeds that waited for it go on; and it may have lost
+ * the watches that it was sent in its silence, which nothing else shows before
+ * their time is over. They are renewed from the same revision.
  */
 static void
-renew_watches(source_t *source, int64_t now_us)
+renew_feeds(source_t *source, int64_t now_us)
 {
 	for (int i = 0; i < FEED_COUNT; i++) {
 		feed_state_t *feed = &source->feeds[i];
 
+		if (feed->is_lost && feed->step == STEP_RESTING)
+			feed->next_us = now_us;
 		if (!feed->is_in_call || feed->step != STEP_WATCHING)
 			continue;
 		stream_destroy(feed->stream);
@@ -485,7 +518,7 @@
 		return;
 	feed->is_lost = false;
 	if (feed->feed == FEED_VMS)
-		renew_watches(feed->source, clock_get_us());
+		renew_feeds(feed->source, clock_get_us());
 	log_fields(LOG_TIER_STORE_REGAINED,
 	    "\"feed\":\"%s\",\"revision\":%" G_GINT64_FORMAT,
 	    feed_names[feed->feed], feed->revision);
