Let the core's modules call downward only

core.c held both the dispatch of events and what every module below it uses, so six files called in a circle, and attempt.c called back into query.c for a timer. What all of them may do (actions, timers, log lines, ids, messages) is effects.c now, which calls none of them; attempt_send says whether a batch went to another VM and query.c sets its timer itself. Calls go core, query and order, attempt, home, estimate, effects. Results of a home on the same VM were queued already.

--- a/src/attempt.c
+++ b/src/attempt.c
@@ -30,7 +30,7 @@
 	if (slot->attempt_count >= ATTEMPTS_PER_SLOT_MAX)
 		return NULL;
 	attempt = g_new0(attempt_t, 1);
-	attempt->id = core_next_id(core);
+	attempt->id = effect_next_id(core);
 	attempt->query = query;
 	attempt->shard = shard;
 	attempt->leaf = get_current_leaf(
@@ -67,7 +67,7 @@
 		batch = &g_array_index(batches, batch_t, batches->len - 1);
 	}
 	g_array_append_val(batch->items, item);
-	core_log(core,
+	effect_log(core,
 	    kind == ATTEMPT_HEDGE   ? LOG_QUERY_HEDGED
 	    : kind == ATTEMPT_RETRY ? LOG_QUERY_RETRIED
 				    : LOG_QUERY_ROUTED,
@@ -84,7 +84,7 @@
 {
 	query_t *query = attempt->query;
 
-	core_unset_timer(core, &attempt->reap_timer);
+	effect_unset_timer(core, &attempt->reap_timer);
 	if (query != NULL) {
 		slot_t *slot = &query->slots[attempt->shard];
 
@@ -119,7 +119,7 @@
 		if (attempt->kind == ATTEMPT_PROBE) {
 			attempt->query = NULL;
 			slot->attempts[i] = NULL;
-			core_set_timer(core, &attempt->reap_timer,
+			effect_set_timer(core, &attempt->reap_timer,
 			    core->now_us + DETACHED_ATTEMPT_US, reap_attempt,
 			    attempt);
 			continue;
@@ -140,7 +140,7 @@
 			    fleet_find_peer(core->fleet, attempt->home);
 
 			if (home != NULL)
-				core_send_peer(core, home->endpoint,
+				effect_send_peer(core, home->endpoint,
 				    wire_encode_cancel(
 					core->self, &attempt->id, 1));
 		}
@@ -148,7 +148,7 @@
 	}
 }
 
-void
+bool
 attempt_send(core_t *core, const query_t *query, GArray *batches)
 {
 	wire_run_t run = { 0 };
@@ -173,19 +173,18 @@
 			home_handle_run(core, &run, true);
 		} else {
 			peer_state_t *peer =
-			    core_get_peer_state(core, batch->home->key);
+			    effect_get_peer_state(core, batch->home->key);
 
 			if (peer->pinged_at_us <= peer->heard_at_us)
 				peer->pinged_at_us = core->now_us;
-			core_send_peer(
+			effect_send_peer(
 			    core, batch->home->endpoint, wire_encode_run(&run));
 			is_remote = true;
 		}
 		g_array_unref(batch->items);
 	}
 	g_array_unref(batches);
-	if (is_remote)
-		query_set_silence_timer(core, (query_t *)query);
+	return is_remote;
 }
 
 /* An empty run, which a home acknowledges like any other. */
@@ -196,7 +195,7 @@
 
 	state->pinged_at_us = core->now_us;
 	g_strlcpy(ping.reply_to, core->options.endpoint, sizeof(ping.reply_to));
-	core_send_peer(core, peer->endpoint, wire_encode_run(&ping));
+	effect_send_peer(core, peer->endpoint, wire_encode_run(&ping));
 }
 
 /* Picks the home that is first in line and not silent; NULL: this thread. */
@@ -214,7 +213,7 @@
 
 		if (peer->key == core->self)
 			return NULL;
-		state = core_get_peer_state(core, peer->key);
+		state = effect_get_peer_state(core, peer->key);
 		if (!state->is_silent)
 			return peer;
 		if (core->now_us - state->pinged_at_us > HOME_PING_PAUSE_US)
--- a/src/core.c
+++ b/src/core.c
@@ -4,7 +4,6 @@
  * time, queues actions. It has no sockets, clock or threads; its random
  * numbers come from the seed in its options.
  */
-#include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -14,8 +13,6 @@
 #define LATENCY_HIGHEST_US 60000000
 #define LATENCY_GROWTH	   1.1
 
-static int compare_timers(
-    gconstpointer left, gconstpointer right, gpointer context);
 static void run_timers(core_t *core);
 static void handle_peer(core_t *core, const event_t *event);
 static void take_fleet(core_t *core, fleet_t *fleet);
@@ -252,149 +249,6 @@
 	return g_string_free(text, FALSE);
 }
 
-action_t *
-core_add_action(core_t *core, action_type_t type)
-{
-	action_t *action = g_new0(action_t, 1);
-
-	action->type = type;
-	g_queue_push_tail(&core->actions, action);
-	return action;
-}
-
-void
-core_set_timer(core_t *core, core_timer_t *timer, int64_t due_us,
-    timer_fn_t callback, void *context)
-{
-	core_unset_timer(core, timer);
-	timer->due_us = due_us;
-	timer->callback = callback;
-	timer->context = context;
-	timer->position =
-	    g_sequence_insert_sorted(core->timers, timer, compare_timers, NULL);
-}
-
-void
-core_unset_timer(core_t *core, core_timer_t *timer)
-{
-	if (timer->position == NULL)
-		return;
-	g_sequence_remove(timer->position);
-	timer->position = NULL;
-}
-
-void
-core_log(core_t *core, log_event_t event, const char *format, ...)
-{
-	va_list arguments;
-	char text[512];
-
-	if (core->options.log == NULL || !log_is_enabled(event))
-		return;
-	va_start(arguments, format);
-	vsnprintf(text, sizeof(text), format, arguments);
-	va_end(arguments);
-	core->options.log(core->options.log_context, event, text);
-}
-
-void
-core_report_violation(core_t *core, log_event_t event, const char *format, ...)
-{
-	va_list arguments;
-	char text[512];
-
-	va_start(arguments, format);
-	vsnprintf(text, sizeof(text), format, arguments);
-	va_end(arguments);
-	metric_add(METRIC_INVARIANT_VIOLATIONS, 1);
-	if (core->options.log != NULL)
-		core->options.log(core->options.log_context, event, text);
-}
-
-uint64_t
-core_next_id(core_t *core)
-{
-	return core->next_id++;
-}
-
-double
-core_random(core_t *core)
-{
-	return gsl_rng_uniform(core->random);
-}
-
-void
-core_answer_error(core_t *core, uint64_t caller, int http_status,
-    int retry_after_s, const char *outcome, const char *reason,
-    const char *detail)
-{
-	action_t *action = core_add_action(core, ACTION_ANSWER);
-
-	action->caller = caller;
-	action->http_status = http_status;
-	action->retry_after_s = retry_after_s;
-	action->body = g_strdup_printf(
-	    "{\"outcome\":\"%s\",\"reason\":\"%s\",\"detail\":\"%s\"}\n",
-	    outcome, reason, detail);
-	action->body_length = strlen(action->body);
-}
-
-void
-core_send_peer(core_t *core, const char *endpoint, GByteArray *bytes)
-{
-	action_t *action = core_add_action(core, ACTION_PEER_SEND);
-
-	g_strlcpy(action->address, endpoint, sizeof(action->address));
-	action->body_length = bytes->len;
-	action->body = (char *)g_byte_array_free(bytes, FALSE);
-}
-
-peer_state_t *
-core_get_peer_state(core_t *core, uint64_t key)
-{
-	peer_state_t *state = g_hash_table_lookup(core->peer_states, &key);
-
-	if (state != NULL)
-		return state;
-	state = g_new0(peer_state_t, 1);
-	state->key = key;
-	g_hash_table_insert(core->peer_states, &state->key, state);
-	return state;
-}
-
-void
-core_deliver_result(core_t *core, const job_t *job, const wire_result_t *result)
-{
-	pending_result_t *pending;
-
-	if (!job->is_local) {
-		core_send_peer(core, job->reply_to, wire_encode_result(result));
-		return;
-	}
-	/* Handled after the present event, so that callers are not re-entered.
-	 */
-	pending = g_new0(pending_result_t, 1);
-	pending->result = *result;
-	pending->body = g_strndup(result->body, result->body_length);
-	pending->result.body = pending->body;
-	g_queue_push_tail(&core->results, pending);
-}
-
-void
-core_handle_result(core_t *core, const wire_result_t *result)
-{
-	if (!order_handle_result(core, result))
-		query_handle_result(core, result);
-}
-
-static int
-compare_timers(gconstpointer left, gconstpointer right, gpointer context)
-{
-	const core_timer_t *one = left, *two = right;
-
-	return one->due_us < two->due_us ? -1 : one->due_us > two->due_us;
-}
-
 static void
 run_timers(core_t *core)
 {
@@ -402,12 +256,19 @@
 		core_timer_t *timer =
 		    g_sequence_get(g_sequence_get_begin_iter(core->timers));
 
-		core_unset_timer(core, timer);
+		effect_unset_timer(core, timer);
 		timer->callback(core, timer->context);
 		run_results(core);
 	}
 }
 
+static void
+handle_result(core_t *core, const wire_result_t *result)
+{
+	if (!order_handle_result(core, result))
+		query_handle_result(core, result);
+}
+
 static void
 handle_peer(core_t *core, const event_t *event)
 {
@@ -416,8 +277,8 @@
 
 	if (!wire_decode(&message, event->body, event->body_length, &error)) {
 		metric_add(METRIC_PEER_REJECTED, 1);
-		core_log(core, LOG_CONTROL_REJECTED, "core: %s: %s", error.step,
-		    error.text);
+		effect_log(core, LOG_CONTROL_REJECTED, "core: %s: %s",
+		    error.step, error.text);
 		return;
 	}
 	switch (message.type) {
@@ -429,10 +290,11 @@
 		    message.attempt_count);
 		break;
 	case WIRE_RESULT:
-		core_handle_result(core, &message.result);
+		handle_result(core, &message.result);
 		break;
 	case WIRE_ACCEPT: {
-		peer_state_t *peer = core_get_peer_state(core, message.origin);
+		peer_state_t *peer =
+		    effect_get_peer_state(core, message.origin);
 
 		peer->heard_at_us = core->now_us;
 		peer->is_silent = false;
@@ -450,7 +312,7 @@
 	if (core->fleet != NULL &&
 	    (fleet->generation < core->fleet->generation ||
 		fleet->settings_version < core->fleet->settings_version)) {
-		core_report_violation(core, LOG_INVARIANT_REVERT,
+		effect_report_violation(core, LOG_INVARIANT_REVERT,
 		    "core: fleet generation %" G_GUINT64_FORMAT
 		    " with settings %" G_GUINT64_FORMAT
 		    " after %" G_GUINT64_FORMAT " with %" G_GUINT64_FORMAT,
@@ -470,7 +332,7 @@
 	pending_result_t *pending;
 
 	while ((pending = g_queue_pop_head(&core->results)) != NULL) {
-		core_handle_result(core, &pending->result);
+		handle_result(core, &pending->result);
 		g_free(pending->body);
 		g_free(pending);
 	}
--- a/src/core_private.h
+++ b/src/core_private.h
@@ -303,23 +303,26 @@
 	double work; /* decaying leaf requests */
 } caller_share_t;
 
-/* core.c */
-action_t *core_add_action(core_t *core, action_type_t type);
-void core_set_timer(core_t *core, core_timer_t *timer, int64_t due_us,
+/* effects.c */
+action_t *effect_add_action(core_t *core, action_type_t type);
+void effect_set_timer(core_t *core, core_timer_t *timer, int64_t due_us,
     timer_fn_t callback, void *context);
-void core_unset_timer(core_t *core, core_timer_t *timer);
-void core_log(core_t *core, log_event_t event, const char *format, ...)
+void effect_unset_timer(core_t *core, core_timer_t *timer);
+void effect_log(core_t *core, log_event_t event, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
-void core_report_violation(core_t *core, log_event_t event, const char *format,
-    ...) G_GNUC_PRINTF(3, 4);
-uint64_t core_next_id(core_t *core);
-double core_random(core_t *core); /* [0, 1) */
-void core_answer_error(core_t *core, uint64_t caller, int http_status,
+void effect_report_violation(core_t *core, log_event_t event,
+    const char *format, ...) G_GNUC_PRINTF(3, 4);
+uint64_t effect_next_id(core_t *core);
+double effect_random(core_t *core); /* [0, 1) */
+void effect_answer_error(core_t *core, uint64_t caller, int http_status,
     int retry_after_s, const char *outcome, const char *reason,
     const char *detail);
-void core_send_peer(core_t *core, const char *endpoint,
+void effect_send_peer(core_t *core, const char *endpoint,
     GByteArray *bytes); /* takes the bytes */
-peer_state_t *core_get_peer_state(core_t *core, uint64_t key);
+peer_state_t *effect_get_peer_state(core_t *core, uint64_t key);
+/** To the VM that asked, or to this one after the present event. */
+void effect_deliver_result(
+    core_t *core, const job_t *job, const wire_result_t *result);
 
 /* estimate.c */
 leaf_state_t *estimate_get_leaf(
@@ -343,8 +346,6 @@
 void query_handle_gone(core_t *core, uint64_t caller);
 void query_handle_fleet(core_t *core);
 void query_destroy_all(core_t *core);
-void query_set_silence_timer(
-    core_t *core, query_t *query); /* watches the homes of its attempts */
 
 /* attempt.c */
 attempt_t *attempt_add(core_t *core, query_t *query, int shard, int replica,
@@ -353,8 +354,8 @@
 void attempt_release(core_t *core, attempt_t *attempt); /* frees it */
 void attempt_drop_all(core_t *core, query_t *query, int shard,
     const attempt_t *kept); /* cancels the others */
-void attempt_send(core_t *core, const query_t *query,
-    GArray *batches);		  /* takes the batches */
+/** Takes the batches; true if any of them went to another VM. */
+bool attempt_send(core_t *core, const query_t *query, GArray *batches);
 void attempt_free(void *attempt); /* for the table of attempts */
 void attempt_ping_home(core_t *core, peer_state_t *state, const peer_t *peer);
 
@@ -383,9 +384,4 @@
 int64_t home_get_wait(
     const core_t *core, const leaf_queue_t *queue, rank_t rank);
 
-/* dispatch between the two sides, local or remote */
-void core_deliver_result(
-    core_t *core, const job_t *job, const wire_result_t *result);
-void core_handle_result(core_t *core, const wire_result_t *result);
-
 #endif
--- a/src/estimate.c
+++ b/src/estimate.c
@@ -199,7 +199,7 @@
 	state->is_ejected = true;
 	index->ejected++;
 	set_probe(core, state, PROBE_PAUSE_US);
-	core_log(core, LOG_LEAF_EJECTED,
+	effect_log(core, LOG_LEAF_EJECTED,
 	    "estimate: leaf %s/%d ejected: %d failures in a row, service %.0f "
 	    "us, median of %s %" G_GINT64_FORMAT " us",
 	    attempt->leaf->instance->id, attempt->leaf->number, state->failures,
@@ -228,7 +228,7 @@
 	state->probe_successes = 0;
 	state->service_us = (double)result->service_us;
 	index->ejected--;
-	core_log(core, LOG_LEAF_RETURNED,
+	effect_log(core, LOG_LEAF_RETURNED,
 	    "estimate: leaf %s/%d returned after %d good probes",
 	    attempt->leaf->instance->id, attempt->leaf->number,
 	    RETURN_SUCCESSES);
--- a/src/home.c
+++ b/src/home.c
@@ -76,7 +76,7 @@
 		fill_wait(core, queue, &waits[wait_count++]);
 	}
 	if (!is_local)
-		core_send_peer(core, run->reply_to,
+		effect_send_peer(core, run->reply_to,
 		    wire_encode_accept(core->self, waits, wait_count));
 	g_free(waits);
 }
@@ -100,7 +100,7 @@
 		}
 		job->is_cancelled = true;
 		metric_add(METRIC_LEAF_CANCELLED, 1);
-		action = core_add_action(core, ACTION_LEAF_CANCEL);
+		action = effect_add_action(core, ACTION_LEAF_CANCEL);
 		action->job = job->id;
 		action->instance = job->queue->instance->key;
 		action->connections = job->queue->instance->connections;
@@ -123,7 +123,7 @@
 
 	if (job == NULL) {
 		metric_add(METRIC_REPLIES_DROPPED, 1);
-		core_log(core, LOG_REPLY_DROPPED,
+		effect_log(core, LOG_REPLY_DROPPED,
 		    "home: reply for job %" G_GUINT64_FORMAT
 		    " that is not under way",
 		    event->job);
@@ -313,7 +313,7 @@
 {
 	job_t *job = g_new0(job_t, 1);
 
-	job->id = core_next_id(core);
+	job->id = effect_next_id(core);
 	job->origin = run->origin;
 	job->attempt = item->attempt;
 	job->shard = item->shard;
@@ -430,14 +430,14 @@
 			g_strdup_printf("%s/%" G_GUINT64_FORMAT
 					"/%016" G_GINT64_MODIFIER "x",
 			    job->request, job->attempt, job->origin))) {
-			core_report_violation(core, LOG_INVARIANT_ORDER,
+			effect_report_violation(core, LOG_INVARIANT_ORDER,
 			    "home: order %s attempt %" G_GUINT64_FORMAT
 			    " was about to be sent again",
 			    job->request, job->attempt);
 			refuse_job(core, job, false);
 			return;
 		}
-		core_log(core, LOG_ORDER_SENT,
+		effect_log(core, LOG_ORDER_SENT,
 		    "home: order %s sent to %s leaf %d", job->request,
 		    queue->instance->address, queue->leaf_number);
 	}
@@ -449,7 +449,7 @@
 	age_served(core, queue);
 	queue->served[job->rank] += 1;
 	metric_add(METRIC_LEAF_REQUESTS, 1);
-	action = core_add_action(core, ACTION_LEAF_SEND);
+	action = effect_add_action(core, ACTION_LEAF_SEND);
 	action->job = job->id;
 	action->instance = queue->instance->key;
 	action->connections = queue->instance->connections;
@@ -466,7 +466,7 @@
 refuse_job(core_t *core, job_t *job, bool is_leaving)
 {
 	if (job->is_sent) {
-		core_report_violation(core, LOG_INVARIANT_NOT_RUN,
+		effect_report_violation(core, LOG_INVARIANT_NOT_RUN,
 		    "home: request %s attempt %" G_GUINT64_FORMAT
 		    " was sent before",
 		    job->request, job->attempt);
@@ -492,7 +492,7 @@
 	if (job->queue != NULL)
 		fill_wait(core, job->queue, &result.wait);
 	if (!job->is_cancelled)
-		core_deliver_result(core, job, &result);
+		effect_deliver_result(core, job, &result);
 	destroy_job(core, job);
 }
 
@@ -514,10 +514,10 @@
 	if (instance->is_leaving)
 		return;
 	instance->is_leaving = true;
-	core_log(core, LOG_UPSTREAM_LEAVING,
+	effect_log(core, LOG_UPSTREAM_LEAVING,
 	    "home: instance at %s drains; it gets no new work",
 	    instance->address);
-	action = core_add_action(core, ACTION_SIGN_LEAVING);
+	action = effect_add_action(core, ACTION_SIGN_LEAVING);
 	action->instance = instance->key;
 }
 
--- a/src/order.c
+++ b/src/order.c
@@ -41,21 +41,21 @@
 
 	metric_add(METRIC_ORDERS, 1);
 	if (core->fleet == NULL || core->fleet->settings_version == 0) {
-		core_answer_error(core, event->caller,
+		effect_answer_error(core, event->caller,
 		    event->is_repeat ? 409 : 503, RETRY_AFTER_S,
 		    event->is_repeat ? "unknown" : "not_run", "not_ready",
 		    "this VM knows no settings yet");
 		return;
 	}
 	if (index == NULL) {
-		core_answer_error(core, event->caller, 404, 0, "rejected",
+		effect_answer_error(core, event->caller, 404, 0, "rejected",
 		    "unknown_index", "no index of that name is known");
 		return;
 	}
 	order = create_order(core, event, index);
-	core_set_timer(
+	effect_set_timer(
 	    core, &order->timer, order->deadline_us, handle_timer, order);
-	action = core_add_action(core, ACTION_CLAIM);
+	action = effect_add_action(core, ACTION_CLAIM);
 	action->request = order->id;
 	action->issued_us = order->issued_us;
 	action->try_number = order->try_number;
@@ -75,7 +75,7 @@
 
 	if (order == NULL || order->state != ORDER_CLAIMING)
 		return;
-	core_log(core, LOG_ORDER_CLAIMED, "order %s: claim %s", order->key,
+	effect_log(core, LOG_ORDER_CLAIMED, "order %s: claim %s", order->key,
 	    names[event->claim]);
 	if (order->is_answered && event->claim != CLAIM_GRANTED)
 		return;
@@ -144,7 +144,7 @@
 		    core, order, true, order->answer, result->body_length);
 		order->state = ORDER_RECORDING;
 		if (!order->is_answered)
-			core_set_timer(core, &order->timer,
+			effect_set_timer(core, &order->timer,
 			    MIN(order->deadline_us,
 				core->now_us + RECORD_WAIT_US),
 			    handle_timer, order);
@@ -172,7 +172,7 @@
 	const settings_values_t *values;
 	int64_t allowed_us;
 
-	order->id = core_next_id(core);
+	order->id = effect_next_id(core);
 	order->caller = event->caller;
 	order->rank = event->rank >= 0 ? (rank_t)event->rank : RANK_STANDARD;
 	order->issued_us = event->issued_us;
@@ -198,7 +198,7 @@
 static void
 destroy_order(core_t *core, order_t *order)
 {
-	core_unset_timer(core, &order->timer);
+	effect_unset_timer(core, &order->timer);
 	if (order->attempt != 0)
 		g_hash_table_remove(core->order_attempts, &order->attempt);
 	g_hash_table_remove(core->order_by_id, &order->id);
@@ -221,7 +221,7 @@
 	uint32_t shard;
 
 	if (order->is_sent) {
-		core_report_violation(core, LOG_INVARIANT_ORDER,
+		effect_report_violation(core, LOG_INVARIANT_ORDER,
 		    "order %s was about to be sent a second time", order->key);
 		return;
 	}
@@ -239,7 +239,7 @@
 	}
 	order->is_sent = true;
 	order->state = ORDER_SENT;
-	order->attempt = core_next_id(core);
+	order->attempt = effect_next_id(core);
 	g_hash_table_insert(core->order_attempts, &order->attempt, order);
 	item = (wire_item_t){ order->attempt, leaf->key, shard };
 	run.origin = core->self;
@@ -257,14 +257,14 @@
 	for (int i = 0; i < leaf->instance->home_count && home == NULL; i++) {
 		home = &core->fleet->peers[leaf->instance->homes[i]];
 		if (home->key != core->self &&
-		    core_get_peer_state(core, home->key)->is_silent)
+		    effect_get_peer_state(core, home->key)->is_silent)
 			home = NULL;
 	}
 	if (home == NULL || home->key == core->self ||
 	    index->values[0].value[SETTING_REACH] != 0)
 		home_handle_run(core, &run, true);
 	else
-		core_send_peer(core, home->endpoint, wire_encode_run(&run));
+		effect_send_peer(core, home->endpoint, wire_encode_run(&run));
 }
 
 /* Ends an order that was certainly not run; releases its claim if it has one.
@@ -289,7 +289,7 @@
 record_order(
     core_t *core, order_t *order, bool has_run, const char *body, size_t length)
 {
-	action_t *action = core_add_action(core, ACTION_RECORD);
+	action_t *action = effect_add_action(core, ACTION_RECORD);
 
 	action->request = order->id;
 	action->has_run = has_run;
@@ -306,7 +306,7 @@
 	action_t *action;
 
 	if (order->is_answered) {
-		core_report_violation(core, LOG_INVARIANT_ANSWER,
+		effect_report_violation(core, LOG_INVARIANT_ANSWER,
 		    "order %s was about to be answered twice", order->key);
 		return;
 	}
@@ -315,7 +315,7 @@
 		   : strcmp(outcome, "not_run") == 0 ? METRIC_ORDERS_NOT_RUN
 						     : METRIC_ORDERS_UNKNOWN,
 	    1);
-	core_log(core, LOG_ORDER_ANSWERED, "order %s: %s %s", order->key,
+	effect_log(core, LOG_ORDER_ANSWERED, "order %s: %s %s", order->key,
 	    outcome, reason);
 	upstream = answer != NULL
 		       ? json_loadb(answer, length, JSON_DECODE_ANY, NULL)
@@ -323,7 +323,7 @@
 	root = json_pack("{s:s, s:s, s:s, s:b, s:o?}", "key", order->key,
 	    "outcome", outcome, "reason", reason, "repeated", is_repeated,
 	    "answer", upstream);
-	action = core_add_action(core, ACTION_ANSWER);
+	action = effect_add_action(core, ACTION_ANSWER);
 	action->caller = order->caller;
 	action->http_status = http_status;
 	action->retry_after_s = http_status == 503 ? RETRY_AFTER_S : 0;
@@ -333,7 +333,7 @@
 	core->order_count--;
 	/* A claim that is still pending, or a late result, finds the order
 	 * here. */
-	core_set_timer(core, &order->timer, core->now_us + ORDER_LINGER_US,
+	effect_set_timer(core, &order->timer, core->now_us + ORDER_LINGER_US,
 	    handle_timer, order);
 }
 
--- a/src/query.c
+++ b/src/query.c
@@ -40,6 +40,7 @@
 static bool is_home_silent(core_t *core, const attempt_t *attempt);
 static void fail_over(
     core_t *core, query_t *query, attempt_t *attempt, GArray *batches);
+static void send_batches(core_t *core, query_t *query, GArray *batches);
 
 void
 query_handle_search(core_t *core, const event_t *event)
@@ -56,12 +57,12 @@
 
 	metric_add(METRIC_QUERIES, 1);
 	if (core->fleet == NULL || core->fleet->settings_version == 0) {
-		core_answer_error(core, event->caller, 503, 1, "not_run",
+		effect_answer_error(core, event->caller, 503, 1, "not_run",
 		    "not_ready", "this VM knows no settings yet");
 		return;
 	}
 	if (index == NULL) {
-		core_answer_error(core, event->caller, 404, 0, "not_run",
+		effect_answer_error(core, event->caller, 404, 0, "not_run",
 		    "unknown_index", "no index of that name is known");
 		return;
 	}
@@ -74,18 +75,18 @@
 		&retry_after_us, &reason)) {
 		metric_add(METRIC_QUERIES_REFUSED, 1);
 		core->rank_status[rank].refused++;
-		core_log(core, LOG_QUERY_REFUSED,
+		effect_log(core, LOG_QUERY_REFUSED,
 		    "query %s: index %s rank %s refused: %s, expected "
 		    "%" G_GINT64_FORMAT " us",
 		    query->request, index->name, rank_get_name(rank), reason,
 		    plan.expected_us);
-		core_answer_error(core, event->caller,
+		effect_answer_error(core, event->caller,
 		    strcmp(reason, "caller_share") == 0 ? 429 : 503,
 		    (int)(retry_after_us / 1000000) + 1, "not_run", reason,
 		    "refused before any leaf request; try again later");
 		destroy_query(core, query);
 	} else {
-		core_log(core, LOG_QUERY_ADMITTED,
+		effect_log(core, LOG_QUERY_ADMITTED,
 		    "query %s: index %s version %u rank %s shards %d expected "
 		    "%" G_GINT64_FORMAT " us",
 		    query->request, index->name, index->version,
@@ -106,14 +107,14 @@
 	estimate_take_wait(core, &result->wait);
 	if (attempt == NULL) {
 		metric_add(METRIC_REPLIES_DROPPED, 1);
-		core_log(core, LOG_REPLY_DROPPED,
+		effect_log(core, LOG_REPLY_DROPPED,
 		    "query: result of attempt %" G_GUINT64_FORMAT
 		    " is late or doubled",
 		    result->attempt);
 		return;
 	}
 	if (attempt->home != 0)
-		core_get_peer_state(core, attempt->home)->heard_at_us =
+		effect_get_peer_state(core, attempt->home)->heard_at_us =
 		    core->now_us;
 	query = attempt->query;
 	shard = attempt->shard;
@@ -149,7 +150,7 @@
 	TAILQ_FOREACH (query, &core->queries, link) {
 		if (query->caller != caller)
 			continue;
-		core_log(core, LOG_QUERY_GONE, "query %s: the caller is gone",
+		effect_log(core, LOG_QUERY_GONE, "query %s: the caller is gone",
 		    query->request);
 		destroy_query(core, query);
 		return;
@@ -181,7 +182,7 @@
 		destroy_query(core, TAILQ_FIRST(&core->queries));
 	g_hash_table_iter_init(&iterator, core->attempts);
 	while (g_hash_table_iter_next(&iterator, NULL, &value))
-		core_unset_timer(core, &((attempt_t *)value)->reap_timer);
+		effect_unset_timer(core, &((attempt_t *)value)->reap_timer);
 }
 
 static query_t *
@@ -202,7 +203,7 @@
 	    sizeof(query->caller_name));
 	snprintf(query->request, sizeof(query->request),
 	    "%.40s-%d-%" G_GUINT64_FORMAT, core->options.self_id,
-	    core->options.thread, core_next_id(core));
+	    core->options.thread, effect_next_id(core));
 	pin_query(core, query, index);
 	allowed_us = query->values->value[SETTING_DEADLINE_US];
 	if (event->deadline_us > 0 && event->deadline_us < allowed_us)
@@ -218,9 +219,9 @@
 {
 	for (int shard = 0; shard < query->slot_count; shard++)
 		attempt_drop_all(core, query, shard, NULL);
-	core_unset_timer(core, &query->deadline_timer);
-	core_unset_timer(core, &query->hedge_timer);
-	core_unset_timer(core, &query->silence_timer);
+	effect_unset_timer(core, &query->deadline_timer);
+	effect_unset_timer(core, &query->hedge_timer);
+	effect_unset_timer(core, &query->silence_timer);
 	TAILQ_REMOVE(&core->queries, query, link);
 	core->query_count--;
 	reply_free_hits(query->hits);
@@ -289,10 +290,10 @@
 	GArray *batches = g_array_new(FALSE, FALSE, sizeof(batch_t));
 	int64_t delay_us = hedging->get_delay(NULL, core, query);
 
-	core_set_timer(core, &query->deadline_timer, query->deadline_us,
+	effect_set_timer(core, &query->deadline_timer, query->deadline_us,
 	    handle_deadline, query);
 	if (delay_us > 0)
-		core_set_timer(core, &query->hedge_timer,
+		effect_set_timer(core, &query->hedge_timer,
 		    core->now_us + delay_us, handle_hedge, query);
 	core->hedge_tokens[query->rank] = MIN(TOKENS_BURST,
 	    core->hedge_tokens[query->rank] +
@@ -323,7 +324,7 @@
 				    ATTEMPT_PROBE, batches);
 		}
 	}
-	attempt_send(core, query, batches);
+	send_batches(core, query, batches);
 	for (int shard = 0; shard < query->slot_count; shard++) {
 		bool is_last = query->waiting == 1;
 
@@ -353,7 +354,7 @@
 	query->restarts++;
 	pin_query(core, query, newer);
 	metric_add(METRIC_QUERIES_RESTARTED, 1);
-	core_log(core, LOG_QUERY_RESTARTED,
+	effect_log(core, LOG_QUERY_RESTARTED,
 	    "query %s: index %s version %u is gone, restarted on %u",
 	    query->request, newer->name, before, newer->version);
 	plan_query(core, query, &plan);
@@ -371,10 +372,10 @@
 	for (int shard = 0; shard < query->slot_count; shard++)
 		merged += query->slots[shard].state == SLOT_ANSWERED;
 	if (merged != query->answered) {
-		core_report_violation(core, LOG_INVARIANT_COVERAGE,
+		effect_report_violation(core, LOG_INVARIANT_COVERAGE,
 		    "query %s: %d shards merged, coverage says %d",
 		    query->request, merged, query->answered);
-		core_answer_error(core, query->caller, 500, 0, "failed",
+		effect_answer_error(core, query->caller, 500, 0, "failed",
 		    "invariant", "the coverage could not be established");
 		destroy_query(core, query);
 		return;
@@ -384,12 +385,12 @@
 	    core, query->rank, took_us, (double)merged / query->slot_count);
 	if (merged < query->slot_count)
 		metric_add(METRIC_QUERIES_PARTIAL, 1);
-	core_log(core, LOG_QUERY_ANSWERED,
+	effect_log(core, LOG_QUERY_ANSWERED,
 	    "query %s: index %s version %u coverage %d/%d in %" G_GINT64_FORMAT
 	    " us",
 	    query->request, query->index->name, query->index->version, merged,
 	    query->slot_count, took_us);
-	action = core_add_action(core, ACTION_ANSWER);
+	action = effect_add_action(core, ACTION_ANSWER);
 	action->caller = query->caller;
 	action->http_status = merged > 0 ? 200 : 504;
 	action->body =
@@ -409,11 +410,11 @@
 	if (!reply_parse(query, attempt, result->body, result->body_length,
 		query->hits, &violation, &error)) {
 		metric_add(METRIC_REPLIES_DROPPED, 1);
-		core_log(core, LOG_REPLY_DROPPED,
+		effect_log(core, LOG_REPLY_DROPPED,
 		    "query %s: shard %d: %s with %s: %s", query->request, shard,
 		    error.step, error.peer, error.text);
 		if (violation != 0)
-			core_log(core, violation, "query %s: shard %d: %s",
+			effect_log(core, violation, "query %s: shard %d: %s",
 			    query->request, shard, error.text);
 		attempt->state->failures++;
 		attempt_release(core, attempt);
@@ -463,7 +464,7 @@
 	metric_add(METRIC_RETRIES, 1);
 	batches = g_array_new(FALSE, FALSE, sizeof(batch_t));
 	attempt_add(core, query, shard, choice, ATTEMPT_RETRY, batches);
-	attempt_send(core, query, batches);
+	send_batches(core, query, batches);
 }
 
 static void
@@ -538,21 +539,29 @@
 		metric_add(METRIC_HEDGES, 1);
 		attempt_add(core, query, shard, choice, ATTEMPT_HEDGE, batches);
 	}
-	attempt_send(core, query, batches);
+	send_batches(core, query, batches);
 	/* Looks again less often the longer the query has waited. */
 	delay_us = MAX(delay_us, core->now_us - query->started_us) / 4;
-	core_set_timer(core, &query->hedge_timer,
+	effect_set_timer(core, &query->hedge_timer,
 	    core->now_us + MAX(delay_us, 1000), handle_hedge, query);
 }
 
-void
-query_set_silence_timer(core_t *core, query_t *query)
+static void
+set_silence_timer(core_t *core, query_t *query)
 {
 	if (query->silence_timer.position == NULL)
-		core_set_timer(core, &query->silence_timer,
+		effect_set_timer(core, &query->silence_timer,
 		    core->now_us + HOME_SILENCE_US, handle_silence, query);
 }
 
+/* The homes of remote attempts are watched for silence. */
+static void
+send_batches(core_t *core, query_t *query, GArray *batches)
+{
+	if (attempt_send(core, query, batches))
+		set_silence_timer(core, query);
+}
+
 /* Moves attempts away from homes that do not even acknowledge. */
 static void
 handle_silence(core_t *core, void *context)
@@ -575,16 +584,16 @@
 				fail_over(core, query, attempt, batches);
 		}
 	}
-	attempt_send(core, query, batches);
+	send_batches(core, query, batches);
 	if (is_remote)
-		query_set_silence_timer(core, query);
+		set_silence_timer(core, query);
 }
 
 /* A home that has said nothing for a while is pinged first. */
 static bool
 is_home_silent(core_t *core, const attempt_t *attempt)
 {
-	peer_state_t *peer = core_get_peer_state(core, attempt->home);
+	peer_state_t *peer = effect_get_peer_state(core, attempt->home);
 	const peer_t *home;
 
 	if (core->now_us - peer->heard_at_us < HOME_SILENCE_US)
@@ -600,7 +609,7 @@
 	    core->now_us - peer->pinged_at_us < HOME_SILENCE_US)
 		return false;
 	if (!peer->is_silent)
-		core_log(core, LOG_HOME_FAILED_OVER,
+		effect_log(core, LOG_HOME_FAILED_OVER,
 		    "query: home %016" G_GINT64_MODIFIER "x is silent",
 		    attempt->home);
 	peer->is_silent = true;
--- a/src/routing.c
+++ b/src/routing.c
@@ -29,7 +29,7 @@
 		    (double)(estimate_get_wait(core, state, query->index_state,
 				 query->rank, leaf->slots) +
 			     estimate_get_service(state, query->index_state));
-		cost *= 1 + JITTER * core_random(core);
+		cost *= 1 + JITTER * effect_random(core);
 		if (state->is_ejected)
 			cost +=
 			    (double)(query->deadline_us - query->started_us);
@@ -54,7 +54,7 @@
 			allowed[count++] = i;
 	if (count == 0)
 		return -1;
-	return allowed[(int)(core_random(core) * count)];
+	return allowed[(int)(effect_random(core) * count)];
 }
 
 /* The newest snapshot and this thread's own signs both count. */
