--- a/src/log.c
+++ b/src/log.c
@@ -80,6 +80,30 @@
 	return find_event(event)->level <= lowest_level;
 }
 
+static bool
+is_plain(char each)
+{
+	return each != '"' && each != '\\' && g_ascii_isprint(each);
+}
+
+void
+log_copy_plain(char *out, size_t size, const char *text)
+{
+	g_strlcpy(out, text, size);
+	for (char *each = out; *each != '\0'; each++)
+		if (!is_plain(*each))
+			*each = '_';
+}
+
+bool
+log_is_plain(const char *text)
+{
+	for (const char *each = text; *each != '\0'; each++)
+		if (!is_plain(*each))
+			return false;
+	return true;
+}
+
 void
 log_write(void *context, log_event_t event, const char *text)
 {
--- a/src/plantainarch.h
+++ b/src/plantainarch.h
@@ -57,6 +57,10 @@
 void log_begin(
     const char *level, bool json); /* level: debug, info, message, warning */
 bool log_is_enabled(log_event_t event); /* whether the level lets it through */
+/** Copies text of others into a log field: what JSON escapes becomes '_'. */
+void log_copy_plain(char *out, size_t size, const char *text);
+/** Whether log_copy_plain would leave it as it is. */
+bool log_is_plain(const char *text);
 void log_write(void *context, log_event_t event,
     const char *text); /* one line; a log_fn_t */
 void log_printf(log_event_t event, const char *format, ...)
--- a/src/source.c
+++ b/src/source.c
@@ -16,6 +16,7 @@
 #define WATCH_SLACK_US	  2000000 /* a watch that is silent longer is dead */
 #define CALL_TIMEOUT_US	  1500000 /* answers take milliseconds */
 #define BACKOFF_FIRST_US  100000
+#define CHECK_US	  100000  /* a watch just sent: is the store there? */
 #define LOST_WAIT_US	  5000000 /* unless the cheap reads answer again */
 #define BACKOFF_MOST_US	  800000  /* a regained store is used within 1 s */
 #define VANISH_US	  2500000 /* entries lost in an outage are back by then */
@@ -80,6 +81,7 @@
 	int vm_count;	   /* of the last list */
 	bool is_changed, is_vm_known, is_leaving;
 	int64_t publish_us, vanish_due_us, beat_us, poll_us, beat;
+	int64_t check_us; /* a cheap read is due then; INT64_MAX: none */
 };
 
 static void handle_received(void *context, const char *data, size_t length);
@@ -109,6 +111,7 @@
 	source->vms =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	source->vanish_due_us = INT64_MAX;
+	source->check_us = INT64_MAX;
 	for (int i = 0; i < FEED_COUNT; i++) {
 		feed_state_t *feed = &source->feeds[i];
 
@@ -258,10 +261,13 @@
 reject(void *context, feed_t which, const char *name, const char *why)
 {
 	feed_state_t *feed = context;
+	char plain_name[KEY_BYTES], plain_why[KEY_BYTES];
 
+	log_copy_plain(plain_name, sizeof(plain_name), name);
+	log_copy_plain(plain_why, sizeof(plain_why), why);
 	log_fields(LOG_TIER_BAD_OBJECT,
 	    "\"feed\":\"%s\",\"name\":\"%s\",\"why\":\"%s\"", feed_names[which],
-	    name, why);
+	    plain_name, plain_why);
 	if (which == FEED_LEAFS &&
 	    g_hash_table_remove(feed->source->leafs, name))
 		mark_changed(feed->source);
@@ -362,7 +368,9 @@
 fail_call(feed_state_t *feed, const char *why)
 {
 	int64_t now_us = clock_get_us();
+	char plain[KEY_BYTES]; /* a parser's error may quote the store */
 
+	log_copy_plain(plain, sizeof(plain), why);
 	stream_destroy(feed->stream);
 	feed->stream = NULL;
 	http_message_reset(&feed->message);
@@ -372,7 +380,7 @@
 		log_fields(LOG_TIER_STORE_LOST,
 		    "\"feed\":\"%s\",\"why\":\"%s\",\"revision\":"
 		    "%" G_GINT64_FORMAT,
-		    feed_names[feed->feed], why, feed->revision);
+		    feed_names[feed->feed], plain, feed->revision);
 	feed->is_lost = true;
 	feed->lost_us = now_us;
 	metric_add(METRIC_TIER_STORE_FAILURES, 1);
@@ -424,6 +432,8 @@
 	    call, feed->feed, feed->revision, WATCH_WAIT_MS);
 	send_call(feed, call, WATCH_WAIT_MS * 1000L + WATCH_SLACK_US);
 	g_string_free(call, TRUE);
+	/* A store that falls silent now would swallow it without a sign. */
+	feed->source->check_us = feed->sent_us + CHECK_US;
 }
 
 /* Writes this VM's entry, or takes it away. */
@@ -468,6 +478,7 @@
 	if (is_waiting_for_store(feed, now_us))
 		feed->next_us = feed->lost_us + LOST_WAIT_US;
 	else if (feed->feed == FEED_VMS) {
+		source->check_us = INT64_MAX;
 		/* The VMs of before a restart are known before anything is
 		 * shared with them. */
 		if (!source->is_vm_known)
@@ -752,11 +763,16 @@
 
 		if (feed->is_in_call && now_us >= feed->timeout_us)
 			fail_call(feed, "timeout");
+		if (i == FEED_VMS && !feed->is_in_call && !feed->is_lost &&
+		    now_us >= source->check_us)
+			feed->next_us = now_us;
 		if (!feed->is_in_call && now_us >= feed->next_us)
 			begin_step(feed, now_us);
 		due_us = MIN(due_us,
 		    feed->is_in_call ? feed->timeout_us : feed->next_us);
 	}
+	if (now_us < source->check_us)
+		due_us = MIN(due_us, source->check_us);
 	if (now_us >= source->vanish_due_us)
 		remove_vanished(source, now_us);
 	if (source->is_changed && now_us >= source->publish_us)
--- a/src/tier.c
+++ b/src/tier.c
@@ -210,16 +210,6 @@
 		request->due_us = MIN(request->due_us, request->late_us);
 }
 
-/* Callers choose their ids; a quote in one must not break a log line. */
-static void
-set_log_id(tier_request_t *request)
-{
-	g_strlcpy(request->log_id, request->ask.id, sizeof(request->log_id));
-	for (char *each = request->log_id; *each != '\0'; each++)
-		if (*each == '"' || *each == '\\' || !g_ascii_isprint(*each))
-			*each = '_';
-}
-
 static tier_request_t *
 create_request(tier_t *tier, int64_t now_us, const route_t *route,
     const tier_ask_t *ask, void *caller)
@@ -232,7 +222,7 @@
 	request->table = route_table_acquire(tier->table);
 	request->state = find_route_state(tier, route);
 	request->ask = *ask;
-	set_log_id(request);
+	log_copy_plain(request->log_id, sizeof(request->log_id), ask->id);
 	request->caller = caller;
 	request->rank = CLAMP(route->rank, 0, TIER_RANKS - 1);
 	request->part_count = route->is_gather ? route->target_count : 1;
--- a/tests/cases/tier_path.sh
+++ b/tests/cases/tier_path.sh
@@ -46,6 +46,14 @@
 [ "$(tier_control /stats | grep -o 'drained [0-9]*')" = "$before" ] && echo "none of them got a request"
 for id in 0 3 4; do tier_control "/leaf?id=i-$id&state=ready" >/dev/null; done
 
+echo "== entries with names that no header or log line can bear"
+for name in 'i"9' 'i\9'; do
+	tier_control "/entry?id=$name&state=ready&service=shard-0&address=127.0.0.1:1&zone=zone-a" >/dev/null
+done
+sleep 0.8
+grep -o 'BAD_OBJECT","feed":"leafs","name":"i.9".*' "$PA_SCRATCH/vm1.log"
+grep -c 'BAD_OBJECT.*its name or service' "$PA_SCRATCH/vm1.log"
+
 echo "== a planned stop under load"
 "$PA_BUILD/caller" --targets "$(tier_callers 1)" --seconds 1.5 --rate 100 >"$PA_SCRATCH/load" &
 load=$!
--- a/tests/cases/tier_store.sh
+++ b/tests/cases/tier_store.sh
@@ -52,3 +52,13 @@
 tier_control '/configuration?version=22' >/dev/null
 sleep 4.5
 echo "version in force: $(tier_metric 1 tier_configuration_version)"
+
+echo "== a short silence swallows a watch that was just sent"
+tier_control '/configuration?version=30' >/dev/null # ends the watch; the next one follows
+sleep 0.1
+tier_control '/store?mode=silent' >/dev/null
+sleep 0.6
+tier_control '/store?mode=up' >/dev/null
+tier_control '/configuration?version=31' >/dev/null
+sleep 4
+echo "version in force: $(tier_metric 1 tier_configuration_version)"
