Soak: one totals struct, one way to its proxies, one set of options

Getters that differed in a name became one struct and one function, the options of the cluster are part of the soak's, and the option for single kinds went.

--- a/soak/breaks.sh
+++ b/soak/breaks.sh
@@ -1,20 +1,16 @@
 #!/usr/bin/env bash
-# Shows for each deliberate fault the first seed that finds it: breaks.sh BUILD NAME:FUNCTION...
-set -u
-cd "$(dirname "$0")/.."
+# The first of ten seeds that finds each deliberate fault: breaks.sh BUILD NAME:FUNCTION...
+cd "$(dirname "$0")/.." || exit 2
 build=$1 missed=0
-seed_first=100 seeds=10
 shift
 for break in "$@"; do
-	name=${break%%:*} found=no
-	for seed in $(seq $seed_first $((seed_first + seeds - 1))); do
+	name=${break%%:*} line=
+	for seed in $(seq 100 109); do
 		line=$("$build/soak" --build "$build" --program "broken/$name" --quiet --seed "$seed" --folder "$build/soak-runs/$name" | grep '^seed')
-		case $line in
-		*'broken 0') ;;
-		*) echo "$name found at $line"; found=yes; break ;;
-		esac
+		[[ $line == *'broken 0' ]] || break
 	done
-	[ $found = yes ] || { echo "$name not found in $seeds seeds"; missed=$((missed + 1)); }
+	[[ $line == *'broken 0' ]] && missed=$((missed + 1))
+	echo "$name: $line"
 done
 echo "$missed deliberate faults missed"
 [ $missed -eq 0 ]
--- a/soak/check.c
+++ b/soak/check.c
@@ -70,7 +70,7 @@
 	GHashTable *targets;		/* route -> names of its services */
 	int newest;			/* version asked for */
 	int64_t budget_due_us, last_us; /* of the newest event */
-	int sent, served, violations;
+	check_totals_t totals;
 	int late_arrivals, wide_attempts;
 	int final_sent, final_served;
 	bool is_final;
@@ -141,27 +141,12 @@
 	g_free(check);
 }
 
-int
-check_get_requests(const check_t *check)
+const check_totals_t *
+check_get_totals(const check_t *check)
 {
-	return check->sent;
+	return &check->totals;
 }
 
-int
-check_get_served(const check_t *check)
-{
-	return check->served;
-}
-
-int
-check_get_violations(const check_t *check)
-{
-	return check->violations;
-}
-
-static void report(check_t *check, int64_t time_us, const char *promise,
-    const char *format, ...) G_GNUC_PRINTF(4, 5);
-
 static void
 report(check_t *check, int64_t time_us, const char *promise, const char *format,
     ...)
@@ -173,7 +158,7 @@
 	vsnprintf(text, sizeof(text), format, arguments);
 	va_end(arguments);
 	snprintf(line, sizeof(line), "%.3f s: %s", (double)time_us / 1e6, text);
-	check->violations++;
+	check->totals.violations++;
 	check->options.report(check->options.context, promise, line);
 }
 
@@ -288,7 +273,7 @@
 	g_hash_table_insert(check->requests, request->id, request);
 	g_queue_push_tail(&check->open, request);
 	note_asked(check, request);
-	check->sent++;
+	check->totals.sent++;
 	check->final_sent += check->is_final ? 1 : 0;
 }
 
@@ -384,7 +369,7 @@
 
 	end_request(request, event->time_us);
 	if (status == 200) {
-		check->served++;
+		check->totals.served++;
 		check->final_served += request->is_final ? 1 : 0;
 	}
 	if (number > 0 && status == 200)
--- a/soak/children.c
+++ b/soak/children.c
@@ -182,14 +182,3 @@
 		destroy_child(child);
 	}
 }
-
-int
-children_count(void)
-{
-	child_t *child;
-	int count = 0;
-
-	LIST_FOREACH(child, &all, in_all)
-	count++;
-	return count;
-}
--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -68,11 +68,6 @@
 	int number, generation;
 } later_t;
 
-typedef struct cluster_caller {
-	cluster_t *cluster;
-	child_t *child;
-} cluster_caller_t;
-
 struct cluster {
 	loop_t *loop;
 	cluster_options_t options;
@@ -198,12 +193,10 @@
 		    &error);
 	}
 	g_string_free(reply, TRUE);
-	if (status == 200)
-		return;
-	fprintf(stderr, "soak: the store does not answer at %s: %s\n", url,
-	    error.text);
-	children_end_all();
-	exit(1);
+	if (status != 200) {
+		fprintf(stderr, "soak: no store at %s: %s\n", url, error.text);
+		exit(1); /* the children end with it */
+	}
 }
 
 void
@@ -300,12 +293,6 @@
 	return cluster->leaf_count;
 }
 
-proxy_t *
-cluster_get_leaf_proxy(cluster_t *cluster, int leaf)
-{
-	return find_leaf(cluster, leaf)->proxy;
-}
-
 static void
 handle_leaf_ended(void *context, int status)
 {
@@ -621,12 +608,11 @@
 	bool is_clean = WIFEXITED(status) && WEXITSTATUS(status) == 0;
 
 	vm->child = NULL;
-	if (!vm->is_down && !(vm->is_stopping && is_clean)) {
+	if (!vm->is_down && !(vm->is_stopping && is_clean))
 		cluster_note(vm->cluster, "crashed vm-%d %s-%d", vm->number,
 		    WIFEXITED(status) ? "exit" : "signal",
 		    WIFEXITED(status) ? WEXITSTATUS(status) : WTERMSIG(status));
-		put_off(vm->cluster, RESTART_US, restart_vm, vm->number - 1, 0);
-	} else if (vm->is_stopping)
+	if (!vm->is_down || vm->is_stopping)
 		put_off(vm->cluster, RESTART_US, restart_vm, vm->number - 1, 0);
 	set_down(vm, true);
 }
@@ -736,15 +722,12 @@
 }
 
 proxy_t *
-cluster_get_caller_proxy(cluster_t *cluster, int vm)
-{
-	return cluster->vms[vm].callers;
-}
-
-proxy_t *
-cluster_get_store_proxy(cluster_t *cluster, int vm)
+cluster_get_proxy(cluster_t *cluster, cluster_way_t way, int number)
 {
-	return cluster->vms[vm].store;
+	if (way == WAY_LEAF)
+		return find_leaf(cluster, number)->proxy;
+	return way == WAY_STORE ? cluster->vms[number].store
+				: cluster->vms[number].callers;
 }
 
 /* ---- Callers ---- */
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -87,7 +87,7 @@
 run_call(cluster_t *cluster, const soak_step_t *step)
 {
 	int vm = pick_vm(cluster, step);
-	proxy_t *proxy = cluster_get_caller_proxy(cluster, vm);
+	proxy_t *proxy = cluster_get_proxy(cluster, WAY_CALLERS, vm);
 
 	cluster_trouble(cluster, !step->is_end, "vm-%d", vm + 1);
 	set_proxy(proxy, step, step->kind->proxy);
@@ -101,7 +101,7 @@
 run_way(cluster_t *cluster, const soak_step_t *step)
 {
 	int vm = pick_vm(cluster, step);
-	proxy_t *proxy = cluster_get_store_proxy(cluster, vm);
+	proxy_t *proxy = cluster_get_proxy(cluster, WAY_STORE, vm);
 
 	cluster_trouble(cluster, !step->is_end, "store-vm-%d", vm + 1);
 	if (step->kind->proxy == PROXY_PASS && !step->is_end)
@@ -124,7 +124,7 @@
 	int leaf = pick_leaf(cluster, step);
 
 	cluster_trouble_leaf(cluster, leaf, !step->is_end);
-	set_proxy(cluster_get_leaf_proxy(cluster, leaf), step,
+	set_proxy(cluster_get_proxy(cluster, WAY_LEAF, leaf), step,
 	    faults[step->target % (int)G_N_ELEMENTS(faults)]);
 }
 
@@ -132,7 +132,7 @@
 run_leaf_reset(cluster_t *cluster, const soak_step_t *step)
 {
 	proxy_t *proxy =
-	    cluster_get_leaf_proxy(cluster, pick_leaf(cluster, step));
+	    cluster_get_proxy(cluster, WAY_LEAF, pick_leaf(cluster, step));
 
 	if (step->value < 0.5)
 		proxy_reset(proxy);
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -98,6 +98,17 @@
 	g_free(link);
 }
 
+static void
+destroy_links(proxy_t *proxy, bool is_reset)
+{
+	proxy_link_t *link, *next;
+
+	for (link = LIST_FIRST(&proxy->links); link != NULL; link = next) {
+		next = LIST_NEXT(link, in_proxy);
+		destroy_link(link, is_reset);
+	}
+}
+
 static void
 handle_accept(void *context, int fd, uint32_t events)
 {
@@ -154,8 +165,7 @@
 void
 proxy_destroy(proxy_t *proxy)
 {
-	while (!LIST_EMPTY(&proxy->links))
-		destroy_link(LIST_FIRST(&proxy->links), false);
+	destroy_links(proxy, false);
 	loop_remove_timer(proxy->loop, run_timer, proxy);
 	loop_unset_fd(proxy->loop, proxy->fd);
 	close(proxy->fd);
@@ -300,8 +310,7 @@
 void
 proxy_reset(proxy_t *proxy)
 {
-	while (!LIST_EMPTY(&proxy->links))
-		destroy_link(LIST_FIRST(&proxy->links), true);
+	destroy_links(proxy, true);
 }
 
 void
--- a/soak/regressions.sh
+++ b/soak/regressions.sh
@@ -1,10 +1,9 @@
 #!/usr/bin/env bash
 # Runs the seeds that have failed before: regressions.sh BUILD
-set -u
-cd "$(dirname "$0")/.."
+cd "$(dirname "$0")/.." || exit 2
 build=${1:-build} failed=0
 while read -r seed seconds _; do
-	case $seed in ''|'#'*) continue ;; esac
+	[[ $seed == [0-9]* ]] || continue
 	"$build/soak" --build "$build" --quiet --seed "$seed" --seconds "$seconds" --folder "$build/soak-runs" </dev/null || failed=$((failed + 1))
 done <soak/seeds.txt
 echo "$failed regressions failed"
--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -35,32 +35,18 @@
 				    gsl_rng_uniform(random));
 }
 
-static bool
-is_wanted(const schedule_options_t *options, const fault_kind_t *kind)
-{
-	return options->only == NULL ||
-	       g_str_has_prefix(kind->name, options->only);
-}
-
 static const fault_kind_t *
-draw_kind(const schedule_options_t *options, gsl_rng *random)
+draw_kind(gsl_rng *random)
 {
 	int count, total = 0, drawn;
 	const fault_kind_t *kinds = fault_get_kinds(&count);
 
 	for (int i = 0; i < count; i++)
-		total += is_wanted(options, &kinds[i]) ? kinds[i].weight : 0;
-	if (total == 0)
-		return NULL;
+		total += kinds[i].weight;
 	drawn = (int)gsl_rng_uniform_int(random, (gulong)total);
-	for (int i = 0; i < count; i++) {
-		if (!is_wanted(options, &kinds[i]))
-			continue;
-		drawn -= kinds[i].weight;
-		if (drawn < 0)
-			return &kinds[i];
-	}
-	return NULL;
+	while (drawn >= kinds->weight)
+		drawn -= kinds++->weight;
+	return kinds;
 }
 
 /* A fault, or a series of them that need not be over before the next begins. */
@@ -101,11 +87,8 @@
 		bool is_lull = gsl_rng_uniform(random) < LULL_SHARE;
 
 		for (int i = 0; i < kinds; i++) {
-			const fault_kind_t *kind = draw_kind(options, random);
-
-			if (kind == NULL)
-				break;
-			add_fault(steps, options, kind, at_us, random);
+			add_fault(
+			    steps, options, draw_kind(random), at_us, random);
 			at_us += draw_time(random, 0, SPREAD_US);
 		}
 		at_us +=
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -55,10 +55,8 @@
 } soak_t;
 
 typedef struct soak_options {
-	uint64_t seed;
+	cluster_options_t cluster;
 	double seconds;
-	int vms, shards, port;
-	const char *build, *folder, *program, *only;
 	bool is_timed, is_quiet;
 } soak_options_t;
 
@@ -108,9 +106,9 @@
 	if (soak->is_quiet || age_us < soak->progress_us)
 		return;
 	soak->progress_us = age_us + 10000000;
-	fprintf(stderr, "  %3.0f s, %d processes, %d requests, %d broken\n",
-	    (double)age_us / 1e6, children_count(),
-	    check_get_requests(soak->check), check_get_violations(soak->check));
+	fprintf(stderr, "  %3.0f s, %d requests, %d broken\n",
+	    (double)age_us / 1e6, check_get_totals(soak->check)->sent,
+	    check_get_totals(soak->check)->violations);
 }
 
 static void
@@ -177,9 +175,9 @@
 static void
 scan_logs(soak_t *soak, const soak_options_t *options)
 {
-	for (int i = 1; i <= options->vms; i++) {
+	for (int i = 1; i <= options->cluster.vms; i++) {
 		char *path =
-		    g_strdup_printf("%s/vm-%d.log", options->folder, i);
+		    g_strdup_printf("%s/vm-%d.log", options->cluster.folder, i);
 		char *text = NULL;
 
 		if (g_file_get_contents(path, &text, NULL, NULL) &&
@@ -197,41 +195,20 @@
 	check_options_t check = bounds;
 
 	check.slack_us =
-	    SLACK_US + SLACK_A_CHILD_US * (options->vms + 2 * options->shards);
+	    SLACK_US + SLACK_A_CHILD_US *
+			   (options->cluster.vms + 2 * options->cluster.shards);
 	check.is_timed = options->is_timed;
 	check.report = take_violation;
 	check.context = soak;
 	return check_create(&check);
 }
 
-static cluster_t *
-begin_cluster(soak_t *soak, const soak_options_t *options)
-{
-	const cluster_options_t cluster = { .build = options->build,
-		.folder = options->folder,
-		.program = options->program,
-		.vms = options->vms,
-		.shards = options->shards,
-		.port = options->port,
-		.seed = options->seed,
-		.drain_us = bounds.drain_us,
-		.apply_us = bounds.apply_us,
-		.stop_us = STOP_US,
-		.retry_ratio = bounds.ratio,
-		.retry_slack = bounds.allowance,
-		.retry_window_us = bounds.window_us,
-		.rate = RATE };
-
-	return cluster_create(soak->loop, &cluster, take_line, soak);
-}
-
 static GArray *
 draw_steps(const soak_options_t *options)
 {
-	const schedule_options_t schedule = { .seed = options->seed,
+	const schedule_options_t schedule = { .seed = options->cluster.seed,
 		.begin_us = FAULTS_FROM_US,
-		.end_us = (int64_t)(options->seconds * 1e6),
-		.only = options->only };
+		.end_us = (int64_t)(options->seconds * 1e6) };
 
 	return schedule_create(&schedule);
 }
@@ -244,8 +221,9 @@
 
 	printf("seed %" G_GUINT64_FORMAT ": faults %d requests %d served %d "
 	       "broken %d",
-	    options->seed, schedule_count_faults(soak->steps),
-	    check_get_requests(soak->check), check_get_served(soak->check),
+	    options->cluster.seed, schedule_count_faults(soak->steps),
+	    check_get_totals(soak->check)->sent,
+	    check_get_totals(soak->check)->served,
 	    (int)g_hash_table_size(soak->promises));
 	g_hash_table_iter_init(&iter, soak->promises);
 	while (g_hash_table_iter_next(&iter, &promise, &count))
@@ -261,10 +239,10 @@
 	soak_t soak = { .begun_us = clock_get_us(),
 		.is_quiet = options->is_quiet,
 		.is_timed = options->is_timed };
-	char *path = g_strdup_printf("%s/history", options->folder);
+	char *path = g_strdup_printf("%s/history", options->cluster.folder);
 	bool is_good;
 
-	g_mkdir_with_parents(options->folder, 0755);
+	g_mkdir_with_parents(options->cluster.folder, 0755);
 	soak.history = fopen(path, "w");
 	if (soak.history == NULL) {
 		fprintf(stderr, "soak: cannot write %s\n", path);
@@ -276,7 +254,8 @@
 	soak.faults_end_us = soak.seconds_us;
 	soak.steps = draw_steps(options);
 	soak.check = begin_check(&soak, options);
-	soak.cluster = begin_cluster(&soak, options);
+	soak.cluster =
+	    cluster_create(soak.loop, &options->cluster, take_line, &soak);
 	soak.begun_us = clock_get_us();
 	loop_add_timer(soak.loop, run_timer, &soak);
 	loop_run(soak.loop);
@@ -307,7 +286,7 @@
 	check_options_t options = bounds;
 	check_t *check;
 	char *text, **lines;
-	int violations;
+	check_totals_t totals;
 
 	options.slack_us = SLACK_US;
 	options.is_timed = is_timed;
@@ -322,13 +301,13 @@
 		if (lines[i][0] != '#' && lines[i][0] != '\0')
 			check_add(check, lines[i]);
 	check_finish(check);
-	violations = check_get_violations(check);
-	printf("%d requests, %d served, %d broken\n", check_get_requests(check),
-	    check_get_served(check), violations);
+	totals = *check_get_totals(check);
+	printf("%d requests, %d served, %d broken\n", totals.sent,
+	    totals.served, totals.violations);
 	check_destroy(check);
 	g_strfreev(lines);
 	g_free(text);
-	return violations == 0 ? 0 : 1;
+	return totals.violations == 0 ? 0 : 1;
 }
 
 /* Each seed has a folder of its own, which stays for a look at what failed. */
@@ -341,10 +320,10 @@
 		soak_options_t own = *options;
 		char *path;
 
-		own.seed = options->seed + (uint64_t)i;
+		own.cluster.seed = options->cluster.seed + (uint64_t)i;
 		path = g_strdup_printf(
-		    "%s/seed-%" G_GUINT64_FORMAT, folder, own.seed);
-		own.folder = path;
+		    "%s/seed-%" G_GUINT64_FORMAT, folder, own.cluster.seed);
+		own.cluster.folder = path;
 		failed += run_seed(&own) ? 0 : 1;
 		g_free(path);
 	}
@@ -370,8 +349,6 @@
 	    arg_str0(NULL, "program", "NAME", "of the VMs (plantainarch)");
 	struct arg_str *folder =
 	    arg_str0(NULL, "folder", "FOLDER", "for logs (build/soak-runs)");
-	struct arg_str *only =
-	    arg_str0(NULL, "only", "TEXT", "kinds of faults that begin so");
 	struct arg_lit *untimed =
 	    arg_lit0(NULL, "untimed", "only promises that no delay can break");
 	struct arg_lit *print =
@@ -382,8 +359,7 @@
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { seed, seeds, seconds, vms, shards, port, build,
-		program, folder, only, untimed, print, history, quiet, help,
-		end };
+		program, folder, untimed, print, history, quiet, help, end };
 	soak_options_t options;
 	int errors;
 
@@ -394,7 +370,6 @@
 	build->sval[0] = "build";
 	program->sval[0] = "plantainarch";
 	folder->sval[0] = "build/soak-runs";
-	only->sval[0] = NULL;
 	errors = arg_parse(argc, argv, table);
 	if (help->count > 0) {
 		printf("Real processes under faults from a seed.\n");
@@ -405,16 +380,22 @@
 		arg_print_errors(stderr, end, argv[0]);
 		return 2;
 	}
-	options = (soak_options_t){ .seed = (uint64_t)seed->ival[0],
-		.seconds = seconds->dval[0],
+	options = (soak_options_t){ .seconds = seconds->dval[0],
+		.is_timed = untimed->count == 0,
+		.is_quiet = quiet->count > 0 };
+	options.cluster = (cluster_options_t){ .build = build->sval[0],
+		.program = program->sval[0],
 		.vms = CLAMP(vms->ival[0], 1, SOAK_VMS_MOST),
 		.shards = CLAMP(shards->ival[0], 3, SOAK_LEAFS_MOST / 4),
 		.port = port->ival[0],
-		.build = build->sval[0],
-		.program = program->sval[0],
-		.only = only->sval[0],
-		.is_timed = untimed->count == 0,
-		.is_quiet = quiet->count > 0 };
+		.seed = (uint64_t)seed->ival[0],
+		.drain_us = bounds.drain_us,
+		.apply_us = bounds.apply_us,
+		.stop_us = STOP_US,
+		.retry_ratio = bounds.ratio,
+		.retry_slack = bounds.allowance,
+		.retry_window_us = bounds.window_us,
+		.rate = RATE };
 	if (history->count > 0)
 		return check_history(history->filename[0], options.is_timed);
 	if (print->count > 0) {
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -40,6 +40,10 @@
 	void *context;
 } check_options_t;
 
+typedef struct check_totals {
+	int sent, served, violations;
+} check_totals_t;
+
 /**
  * The history has one event a line: TIME_US EVENT WORDS...
  *   sent ID VM ROUTE | answered ID VM STATUS | cut ID VM | left ID VM
@@ -58,9 +62,7 @@
 void check_add(check_t *check, const char *line);
 void check_run(check_t *check, int64_t until_us);
 void check_finish(check_t *check); /* all that is left, then the sums */
-int check_get_requests(const check_t *check);
-int check_get_served(const check_t *check);
-int check_get_violations(const check_t *check);
+const check_totals_t *check_get_totals(const check_t *check);
 
 /* ---- Schedule ---- */
 
@@ -77,7 +79,6 @@
 typedef struct schedule_options {
 	uint64_t seed;
 	int64_t begin_us, end_us; /* no fault outside of these */
-	const char *only;	  /* kinds that begin with this; NULL: all */
 } schedule_options_t;
 
 GArray *schedule_create(const schedule_options_t *options); /* soak_step_t */
@@ -120,7 +121,6 @@
 void child_write(child_t *child, const char *text); /* to its input */
 void children_reap(void);			    /* calls ended */
 void children_end_all(void);
-int children_count(void);
 
 /* ---- Cluster: the processes and what stands between them ---- */
 
@@ -156,9 +156,10 @@
 
 int cluster_count_vms(const cluster_t *cluster);
 int cluster_count_leafs(const cluster_t *cluster); /* of the shards in force */
-proxy_t *cluster_get_caller_proxy(cluster_t *cluster, int vm);
-proxy_t *cluster_get_store_proxy(cluster_t *cluster, int vm);
-proxy_t *cluster_get_leaf_proxy(cluster_t *cluster, int leaf);
+typedef enum cluster_way { WAY_CALLERS, WAY_STORE, WAY_LEAF } cluster_way_t;
+
+/** Of a VM, or of a leaf. */
+proxy_t *cluster_get_proxy(cluster_t *cluster, cluster_way_t way, int number);
 void cluster_kill_vm(cluster_t *cluster, int vm);
 void cluster_start_vm(cluster_t *cluster, int vm); /* if it does not run */
 void cluster_stop_vm(cluster_t *cluster, int vm);  /* SIGTERM, then SIGKILL */
