Soak: a frozen leaf reads later what had reached it before

Traced in its history: all seven had been sent before the callers left, to leafs that were frozen by a fault (i-2.1, i-10.1, i-7.2, i-0.2) and read them on waking, i-2.1 1.98 s later, 25 ms after its SIGCONT. Ruled out: load (other VMs' requests to sound leafs arrived in time all the while).

--- a/soak/check.c
+++ b/soak/check.c
@@ -478,6 +478,9 @@
 		request->left_us + options->gone_us + options->slack_us &&
 	    is_calm(
 		check, request->vm, request->sent_us - options->stable_us) &&
+	    /* A leaf that stands still reads later what has reached it. */
+	    is_calm(check, event->words[2],
+		request->sent_us - options->stable_us) &&
 	    ++check->late_arrivals == FEW + 1)
 		report(check, event->time_us, "GONE",
 		    "%s %s: more than %d requests for callers that left",
