--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -39,6 +39,7 @@
 #define STORE_TRY_US	 50000
 #define RETRY_US	 300000
 #define LEAFS_A_SHARD	 2
+#define WORK_MS		 "15" /* long enough that stops find work in progress */
 #define LEAVE_SHARE	 0.05 /* of the requests are given up */
 
 typedef struct cluster_vm {
@@ -342,8 +343,8 @@
 	snprintf(text, sizeof(text), "%s,%s,%d", leaf->id, leaf->service,
 	    options->port + PORT_LEAF + leaf->slot);
 	leaf->child = child_start(cluster->loop,
-	    (const char *const[]){
-		path, "--tell", "--port", port, "--leaf", text, NULL },
+	    (const char *const[]){ path, "--tell", "--work-ms", WORK_MS,
+		"--port", port, "--leaf", text, NULL },
 	    NULL, &hooks);
 	put_entry(leaf, "ready", 0, ignore_reply);
 }
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -19,7 +19,7 @@
 #define LAG_US		 2000000  /* lines of all processes are in by then */
 #define STALL_US	 300000
 #define CHECK_US	 250000
-#define RATE		 120 /* requests a second */
+#define RATE		 150 /* requests a second */
 #define SLACK_US	 700000
 #define SLACK_A_CHILD_US 10000 /* more for large runs on few cores */
 
