Keep one copy of the time that abandoned attempts may take

tier.c and part.c each defined ABANDON_US; it stands in tier_private.h now. A MAX with zero around a value that is never below 50 went from the crowded bound. Behaviour is the same: tier.o disassembles to the same code, tests/tier_load prints the same figures for every pattern, tier_budget, tier_reach, http_framing and cases tier_faults pass.

--- a/src/part.c
+++ b/src/part.c
@@ -11,7 +11,6 @@
 
 #define HEDGE_AGAIN_US	15000	 /* between looks at a part that can't hedge */
 #define RESTARTS_MOST	3	 /* of a part whose request did not arrive */
-#define ABANDON_US	250000	 /* a leaf may finish what nobody waits for */
 #define CROWDED_RTTS	2	 /* to connect, and until the reset arrives */
 #define LOWER_TURN	4	 /* each such dispatch goes to a lower rank */
 #define LATENCY_WEIGHT	0.1	 /* of one sample in a service's mean */
@@ -336,9 +335,8 @@
 get_outcome(
     const tier_attempt_t *attempt, int64_t now_us, attempt_outcome_t reported)
 {
-	int64_t idle_us = (int64_t)attempt->kind->idle_work_us;
-	int64_t crowded_us =
-	    CROWDED_RTTS * *attempt->leaf->rtt_us + MAX(idle_us / 2, 0);
+	int64_t crowded_us = CROWDED_RTTS * *attempt->leaf->rtt_us +
+			     (int64_t)attempt->kind->idle_work_us / 2;
 
 	if (reported == OUTCOME_CROWDED &&
 	    now_us - attempt->sent_us > crowded_us)
--- a/src/tier.c
+++ b/src/tier.c
@@ -14,7 +14,6 @@
 
 #define CALLER_RTT_US  2000   /* to a caller, where it is not measured */
 #define LATE_FACTOR    2      /* objectives to wait for a late whole answer */
-#define ABANDON_US     250000 /* a leaf may finish what nobody waits for */
 #define SWEEP_US       50000  /* between looks at abandoned attempts */
 #define RETRY_AFTER_US 300000 /* without a better estimate */
 #define NEVER_US       (INT64_MAX / 2)
--- a/src/tier_private.h
+++ b/src/tier_private.h
@@ -8,8 +8,9 @@
 
 #include "tier.h"
 
-#define RETURN_MARGIN_US     8000  /* processing here and on the way back */
-#define RETRY_AFTER_LEAST_US 50000 /* a caller's way there and back */
+#define RETURN_MARGIN_US     8000   /* processing here and on the way back */
+#define ABANDON_US	     250000 /* a leaf may finish what nobody awaits */
+#define RETRY_AFTER_LEAST_US 50000  /* a caller's way there and back */
 
 typedef enum part_state {
 	PART_WAITING, /* for a free connection */
