Open a connection to the nearest leaf of each service before it is needed

Also: what leaves send without end is closed by name: an answer too large, all answers in progress over 16 MB, more than 4 answers to other requests; one log line names the leaf (case tier_endless; on the code before, its last check fails; the memory bound held there too).

--- a/src/pool.c
+++ b/src/pool.c
@@ -10,8 +10,11 @@
 
 #define ANSWER_HEAD_BYTES_MAX  32768
 #define ANSWER_BODY_BYTES_MAX  8388608
-#define CONNECT_TIMEOUT_MIN_US 300000	/* plus a few round trips */
-#define CONNECT_TIMEOUT_RTTS   4	/* added to the minimum */
+#define BUFFERED_BYTES_MAX     16777216 /* of all answers in progress */
+#define BUFFERED_FAIR_BYTES    65536	/* never closed for the sum of all */
+#define SKIPPED_ANSWERS_MAX    4      /* to other requests, before the answer */
+#define CONNECT_TIMEOUT_MIN_US 300000 /* plus a few round trips */
+#define CONNECT_TIMEOUT_RTTS   4      /* added to the minimum */
 #define IDLE_DEFAULT_US	       30000000 /* without a Keep-Alive header */
 #define IDLE_MARGIN_US	       700000	/* no reuse so near the timeout */
 #define CONNECT_CHECK_US       50000
@@ -29,6 +32,8 @@
 	char id[KEY_BYTES];	 /* of the request in flight */
 	int64_t opened_us;	 /* start of the connect until is_open */
 	int64_t reuse_until_us, idle_since_us;
+	size_t buffered_bytes;	  /* of the answer in progress */
+	int skipped_count;	  /* answers to other requests */
 	bool has_received;	  /* bytes were received on it */
 	bool is_open, must_close; /* must_close: after this answer */
 } leaf_connection_t;
@@ -50,6 +55,7 @@
 	GString *scratch;
 	int64_t connect_check_due_us, prune_due_us;
 	int connecting_count;
+	size_t buffered_bytes; /* of all connections */
 };
 
 static void handle_opened(void *context);
@@ -76,9 +82,19 @@
 	return pool;
 }
 
+static void
+set_buffered_bytes(leaf_connection_t *connection, size_t bytes)
+{
+	pool_t *pool = connection->leaf_pool->pool;
+
+	pool->buffered_bytes += bytes - connection->buffered_bytes;
+	connection->buffered_bytes = bytes;
+}
+
 static void
 destroy_connection(leaf_connection_t *connection)
 {
+	set_buffered_bytes(connection, 0);
 	if (!connection->is_open)
 		connection->leaf_pool->pool->connecting_count--;
 	if (!connection->leaf_pool->is_leaf_removed)
@@ -149,6 +165,8 @@
 		    pool->callbacks.context, attempt, &copy);
 	if (is_kept && !leaf_pool->is_leaf_removed) {
 		http_message_reset(&connection->message);
+		set_buffered_bytes(connection, 0);
+		connection->skipped_count = 0;
 		connection->reuse_until_us = reuse_until_us;
 		connection->idle_since_us = clock_get_us();
 	} else
@@ -180,15 +198,18 @@
 	return leaf_pool;
 }
 
-/* Returns the most recently used idle connection; the others may expire. */
+/*
+ * Returns the most recently used idle connection, since the others may expire,
+ * else one that was opened early and is still connecting.
+ */
 static leaf_connection_t *
 find_idle_connection(leaf_pool_t *leaf_pool, int64_t now_us)
 {
 	leaf_connection_t *connection, *best = NULL;
 
 	LIST_FOREACH(connection, &leaf_pool->connections, in_pool)
-	if (connection->attempt == NULL && connection->is_open &&
-	    connection->reuse_until_us > now_us &&
+	if (connection->attempt == NULL &&
+	    (connection->reuse_until_us > now_us || !connection->is_open) &&
 	    (best == NULL || connection->reuse_until_us > best->reuse_until_us))
 		best = connection;
 	return best;
@@ -243,6 +264,15 @@
 	    connection->stream, pool->scratch->str, pool->scratch->len);
 }
 
+void
+pool_warm_leaf(pool_t *pool, tier_leaf_t *leaf)
+{
+	leaf_pool_t *leaf_pool = find_leaf_pool(pool, leaf);
+
+	if (LIST_EMPTY(&leaf_pool->connections))
+		open_connection(leaf_pool, clock_get_us());
+}
+
 void
 pool_cancel(pool_t *pool, tier_attempt_t *attempt)
 {
@@ -285,9 +315,14 @@
 
 	connection->is_open = true;
 	connection->leaf_pool->pool->connecting_count--;
-	if (connection->attempt != NULL)
-		tier_record_rtt(
-		    connection->attempt->leaf, now_us - connection->opened_us);
+	if (!connection->leaf_pool->is_leaf_removed)
+		tier_record_rtt(connection->leaf_pool->leaf,
+		    now_us - connection->opened_us);
+	/* Opened early: the leaf has not told its idle timeout yet. */
+	if (connection->attempt == NULL) {
+		connection->idle_since_us = now_us;
+		connection->reuse_until_us = now_us + IDLE_DEFAULT_US;
+	}
 }
 
 /* Keep-Alive "timeout=5", less a margin for a request in transit. */
@@ -325,6 +360,36 @@
 	return false;
 }
 
+/* Closes a connection whose leaf sends without end, and says so. */
+static void
+fail_endless(leaf_connection_t *connection, const char *why)
+{
+	const tier_leaf_t *leaf = connection->attempt->leaf;
+	char plain_id[KEY_BYTES];
+
+	log_copy_plain(plain_id, sizeof(plain_id), connection->id);
+	log_fields(LOG_TIER_ENDLESS_ANSWER,
+	    "\"leaf\":\"%s\",\"service\":\"%s\",\"id\":\"%s\","
+	    "\"bytes\":%" G_GSIZE_FORMAT ",\"all_bytes\":%" G_GSIZE_FORMAT
+	    ",\"why\":\"%s\"",
+	    leaf->entry.id, leaf->entry.service, plain_id,
+	    connection->message.body->len,
+	    connection->leaf_pool->pool->buffered_bytes, why);
+	fail_attempt(connection, OUTCOME_CONNECTION_LOST);
+}
+
+/* Whether the answer in progress may grow further. */
+static bool
+check_buffered_bytes(leaf_connection_t *connection)
+{
+	const http_message_t *message = &connection->message;
+
+	set_buffered_bytes(connection, message->body->len + message->text->len);
+	return connection->buffered_bytes <= BUFFERED_FAIR_BYTES ||
+	       connection->leaf_pool->pool->buffered_bytes <=
+		   BUFFERED_BYTES_MAX;
+}
+
 static void
 handle_received(void *context, const char *data, size_t length)
 {
@@ -344,10 +409,20 @@
 		http_state_t state = http_message_feed(
 		    &connection->message, data, length, &used);
 
-		if (state == HTTP_INCOMPLETE)
+		if (state == HTTP_INCOMPLETE) {
+			if (!check_buffered_bytes(connection))
+				fail_endless(
+				    connection, "all answers are too large");
 			return;
+		}
 		if (state == HTTP_INVALID) {
-			fail_attempt(connection, OUTCOME_CONNECTION_LOST);
+			if (connection->message.is_head_over_limit ||
+			    connection->message.is_body_over_limit)
+				fail_endless(
+				    connection, "the answer is too large");
+			else
+				fail_attempt(
+				    connection, OUTCOME_CONNECTION_LOST);
 			return;
 		}
 		data += used;
@@ -355,6 +430,10 @@
 		if (read_answer(connection, &answer))
 			break;
 		http_message_reset(&connection->message);
+		if (++connection->skipped_count > SKIPPED_ANSWERS_MAX) {
+			fail_endless(connection, "answers to other requests");
+			return;
+		}
 		if (length == 0)
 			return;
 	}
@@ -399,14 +478,18 @@
 		int64_t rtt_us;
 
 		next = LIST_NEXT(connection, in_pool);
-		if (connection->is_open || connection->attempt == NULL)
+		if (connection->is_open || leaf_pool->is_leaf_removed)
+			continue;
+		rtt_us = *leaf_pool->leaf->rtt_us;
+		if (now_us - connection->opened_us <=
+		    CONNECT_TIMEOUT_MIN_US + CONNECT_TIMEOUT_RTTS * rtt_us)
+			continue;
+		if (connection->attempt == NULL) {
+			destroy_connection(connection);
 			continue;
-		rtt_us = *connection->attempt->leaf->rtt_us;
-		if (now_us - connection->opened_us >
-		    CONNECT_TIMEOUT_MIN_US + CONNECT_TIMEOUT_RTTS * rtt_us) {
-			fail_attempt(connection, OUTCOME_UNSENT);
-			return; /* the list may have changed */
 		}
+		fail_attempt(connection, OUTCOME_UNSENT);
+		return; /* the list may have changed */
 	}
 }
 
--- a/src/tier.c
+++ b/src/tier.c
@@ -50,9 +50,11 @@
 		.read_timeout_us = 3000000,
 		.idle_timeout_us = 15000000 };
 	tier->is_starting_up = true;
+	tier->least_connections = 1;
 	TAILQ_INIT(&tier->requests);
 	TAILQ_INIT(&tier->ended);
 	TAILQ_INIT(&tier->attempts);
+	TAILQ_INIT(&tier->warming);
 	return tier;
 }
 
@@ -592,7 +594,8 @@
 			due_us = MIN(due_us, request->next_check_us);
 		tier->next_check_us = due_us;
 	}
+	due_us = MIN(tier->next_check_us, warming_tick(tier, now_us));
 	if (!TAILQ_EMPTY(&tier->attempts) || tier->queued_part_count > 0)
-		return MIN(tier->next_check_us, tier->next_sweep_us);
-	return tier->next_check_us;
+		return MIN(due_us, tier->next_sweep_us);
+	return due_us;
 }
--- a/src/tier.h
+++ b/src/tier.h
@@ -241,6 +241,8 @@
 	/** Answers the caller; the tier does not use the handle afterwards. */
 	void (*answer)(
 	    void *context, void *caller, const tier_answer_t *answer);
+	/** Opens a connection to the leaf for later requests. */
+	void (*warm_leaf)(void *context, tier_leaf_t *leaf);
 	/** Closes all connections to the leaf. */
 	void (*close_leaf)(void *context, tier_leaf_t *leaf);
 	/** Logs a JSON fragment: "\"id\":\"r1\",..." */
@@ -249,6 +251,8 @@
 
 struct tier_leaf {
 	LIST_ENTRY(tier_leaf) in_service;
+	TAILQ_ENTRY(tier_leaf) in_warming;
+	bool is_warming_queued, is_warmed; /* once in its life */
 	leaf_entry_t entry;
 	tier_service_t *service;
 	leaf_stats_t stats;
--- a/src/tier_leaves.c
+++ b/src/tier_leaves.c
@@ -3,6 +3,7 @@
  * Applies a directory: the configuration, the leaves of each service, and this
  * VM's connection limit for each leaf.
  */
+#include <limits.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -28,7 +29,8 @@
 		return service;
 	service = g_new0(tier_service_t, 1);
 	g_strlcpy(service->name, name, sizeof(service->name));
-	service->max_connections = 1;
+	/* Until the configuration names it: as the smallest that it names. */
+	service->max_connections = tier->least_connections;
 	LIST_INIT(&service->leaves);
 	for (int i = 0; i < TIER_RANKS; i++)
 		TAILQ_INIT(&service->queues[i]);
@@ -80,6 +82,7 @@
 {
 	if (!leaf->is_removed) {
 		LIST_REMOVE(leaf, in_service);
+		warming_remove_leaf(tier, leaf);
 		g_hash_table_remove(tier->leaves, leaf->entry.id);
 		leaf->is_removed = true;
 		tier->callbacks.close_leaf(tier->callbacks.context, leaf);
@@ -168,6 +171,14 @@
 	route_table_release(tier->table);
 	tier->table = route_table_acquire(table);
 	tier->limits = table->limits;
+	tier->least_connections = table->services->len > 0 ? INT_MAX : 1;
+	for (guint i = 0; i < table->services->len; i++) {
+		const service_entry_t *entry =
+		    g_ptr_array_index(table->services, i);
+
+		tier->least_connections =
+		    MIN(tier->least_connections, entry->max_connections);
+	}
 	for (guint i = 0; i < table->services->len; i++) {
 		const service_entry_t *entry =
 		    g_ptr_array_index(table->services, i);
@@ -241,8 +252,10 @@
 			MAX_CONNECTIONS_PER_LEAF);
 	}
 	g_hash_table_iter_init(&iter, tier->services);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		choose_remote_leaf(tier, value);
+		warming_update_service(tier, value);
+	}
 }
 
 void
--- a/src/tier_private.h
+++ b/src/tier_private.h
@@ -87,6 +87,9 @@
 	GHashTable *rtts;     /* zone -> int64_t */
 	TAILQ_HEAD(, tier_request) requests, ended;
 	TAILQ_HEAD(, tier_attempt) attempts;
+	TAILQ_HEAD(, tier_leaf) warming; /* leaves to connect to early */
+	int64_t next_warming_us;
+	int least_connections; /* lowest limit of a configured service */
 	int request_count, queued_part_count;
 	int64_t next_sweep_us, stop_deadline_us;
 	int64_t next_check_us; /* earliest next_check_us of a request */
@@ -116,6 +119,12 @@
 tier_service_t *tier_find_service(tier_t *tier, const char *name);
 void tier_update_connection_limits(tier_t *tier);
 
+/* warming.c */
+void warming_update_service(tier_t *tier, tier_service_t *service);
+void warming_remove_leaf(tier_t *tier, tier_leaf_t *leaf);
+/** Opens the connections that are due; returns when to call again. */
+int64_t warming_tick(tier_t *tier, int64_t now_us);
+
 /* tier_answers.c */
 void tier_finish_if_settled(tier_request_t *request, int64_t now_us);
 void tier_end_request(tier_request_t *request);
--- a/src/tier_process.c
+++ b/src/tier_process.c
@@ -83,6 +83,14 @@
 	listener_send_answer(caller, answer);
 }
 
+static void
+warm_leaf(void *context, tier_leaf_t *leaf)
+{
+	traffic_t *traffic = context;
+
+	pool_warm_leaf(traffic->pool, leaf);
+}
+
 static void
 remove_leaf(void *context, tier_leaf_t *leaf)
 {
@@ -192,7 +200,8 @@
 		.initial_vm_count = VM_COUNT_INITIAL,
 		.seed = hash_text(settings->id) };
 	tier_callbacks_t tier_callbacks = { traffic, send_attempt,
-		cancel_attempt, send_answer, remove_leaf, log_write_fields };
+		cancel_attempt, send_answer, warm_leaf, remove_leaf,
+		log_write_fields };
 	pool_callbacks_t pool_callbacks = { traffic, handle_leaf_answer,
 		get_request };
 
--- a/src/tier_process.h
+++ b/src/tier_process.h
@@ -124,6 +124,8 @@
     const pool_callbacks_t *callbacks);
 void pool_destroy(pool_t *pool);
 void pool_send(pool_t *pool, tier_attempt_t *attempt);
+/** Opens a connection to the leaf if it has none. */
+void pool_warm_leaf(pool_t *pool, tier_leaf_t *leaf);
 void pool_cancel(pool_t *pool, tier_attempt_t *attempt);
 void pool_remove_leaf(pool_t *pool, tier_leaf_t *leaf);
 
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -22,8 +22,9 @@
 
 #include "site.h"
 
-#define HEAD_BYTES 16384
-#define BODY_BYTES 1048576
+#define ENDLESS_INTERVAL_US 1000
+#define HEAD_BYTES	    16384
+#define BODY_BYTES	    1048576
 
 static void handle_received(void *context, const char *data, size_t length);
 static void handle_closed(void *context, bool is_clean);
@@ -316,6 +317,10 @@
 		if (link->is_running || link->is_delayed ||
 		    link->watch_revision >= 0)
 			due_us = MIN(due_us, link->due_us);
+		if (link->endless != NULL) {
+			site_leafs_continue_endless(link);
+			due_us = MIN(due_us, now_us + ENDLESS_INTERVAL_US);
+		}
 	}
 	for (guint i = 0; i < site->leafs->len; i++)
 		site_leafs_start_queued(g_ptr_array_index(site->leafs, i));
--- a/stand-ins/site.h
+++ b/stand-ins/site.h
@@ -43,6 +43,7 @@
 	int64_t watch_revision; /* -1: no watch */
 	char *kind;		/* of the watch */
 	bool is_running, is_queued, is_ended, is_delayed;
+	const char *endless; /* sent again and again until the VM closes */
 	GString *backlog;
 } site_link_t;
 
@@ -89,6 +90,7 @@
     const char *address, const char *zone);
 site_leaf_t *site_leafs_find(const site_t *site, const char *id);
 void site_leafs_handle(site_link_t *link);
+void site_leafs_continue_endless(site_link_t *link);
 void site_leafs_finish(site_link_t *link); /* its work is done */
 void site_leafs_start_queued(site_leaf_t *leaf);
 
--- a/stand-ins/site_leafs.c
+++ b/stand-ins/site_leafs.c
@@ -45,6 +45,57 @@
 	return strcmp(leaf->fault, fault) == 0 && site_draw(site) < leaf->share;
 }
 
+#define ENDLESS_REPEATS 2048 /* of the text, in one write */
+
+/* What a leaf sends without end, by the name of the fault. */
+static const struct endless {
+	const char *fault, *begin, *repeated;
+} endless_faults[] = {
+	{ "endless-head", "HTTP/1.1 200 OK\r\n",
+	    "X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n" },
+	{ "endless-line", "HTTP/1.1 200 OK\r\nX-Filler: ",
+	    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" },
+	{ "endless-body", "HTTP/1.1 200 OK\r\n\r\n",
+	    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" },
+	{ "endless-chunks",
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	    "20;extension="
+	    "aaaaaaaaaaa\r\naaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n" },
+	{ "endless-answers", "",
+	    "HTTP/1.1 200 OK\r\nPlantainarch-Request-Id: other\r\n"
+	    "Content-Length: 0\r\n\r\n" },
+};
+
+void
+site_leafs_continue_endless(site_link_t *link)
+{
+	GString *text;
+
+	if (!stream_is_flushed(link->stream))
+		return;
+	text = g_string_new(NULL);
+	for (int i = 0; i < ENDLESS_REPEATS; i++)
+		g_string_append(text, link->endless);
+	stream_write(link->stream, text->str, text->len);
+	g_string_free(text, TRUE);
+}
+
+static bool
+begin_endless(site_link_t *link)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(endless_faults); i++) {
+		const struct endless *endless = &endless_faults[i];
+
+		if (!is_hit(link->port->leaf, link->port->site, endless->fault))
+			continue;
+		link->endless = endless->repeated;
+		stream_write(
+		    link->stream, endless->begin, strlen(endless->begin));
+		return true;
+	}
+	return false;
+}
+
 void
 site_leafs_finish(site_link_t *link)
 {
@@ -63,6 +114,8 @@
 	    "Plantainarch-Request-Id: %s\r\nPlantainarch-Server-Stamp: "
 	    "%s\r\n",
 	    id, stamp);
+	if (begin_endless(link))
+		return;
 	if (is_hit(leaf, site, "reset")) {
 		site_destroy_link(link);
 		return;
--- a/tests/support/tier_world.c
+++ b/tests/support/tier_world.c
@@ -388,6 +388,12 @@
 	job->leaf->connections--;
 }
 
+/* Connections of the simulated leaves are counted while a request uses them. */
+static void
+warm_leaf(void *context, tier_leaf_t *leaf)
+{
+}
+
 static void
 close_leaf(void *context, tier_leaf_t *leaf)
 {
@@ -606,7 +612,7 @@
 					: world->options.vms,
 		.seed = world->options.seed * 100 + (uint64_t)number };
 	tier_callbacks_t callbacks = { vm, send_attempt, cancel_attempt,
-		answer_call, close_leaf, ignore_log };
+		answer_call, warm_leaf, close_leaf, ignore_log };
 
 	vm->world = world;
 	vm->zone = number % world->options.zones;
