Hedge in time for the objective, and not on this process's own delay

Cause: on the large deployment a lookup (5 ms of work, 100 ms objective) was hedged after 60 ms in the middle, because a VM assumes 20 ms of work until it has seen a route and the time was fixed when a part was sent; the hedge then crosses regions in 25 to 50 ms. A small VM also hedged parts whose answers waited to be read.

--- a/src/part.c
+++ b/src/part.c
@@ -10,6 +10,9 @@
 #include "tier_private.h"
 
 #define HEDGE_RETRY_DELAY_US  15000 /* after a hedge that was not possible */
+#define HEDGE_EARLY_MARGIN_US 8000  /* jitter of the network and the loop */
+#define HEDGE_EARLY_MAX_LOAD  1.35  /* latency in multiples of an idle one */
+#define HEDGE_EARLY_FACTOR    1.5   /* of the expected latency, at least */
 #define MAX_RESTARTS	      3	    /* of a part whose request did not arrive */
 #define CONNECTION_LIMIT_RTTS 2	    /* to connect and to receive the reset */
 #define LOWER_RANK_INTERVAL   4	  /* every 4th dispatch goes to a lower rank */
@@ -48,6 +51,71 @@
 	part->request->tier->queued_part_count--;
 }
 
+/*
+ * Expected latency of the best other leaf, INT64_MAX if there is none. A new
+ * connection costs one more round trip.
+ */
+static int64_t
+get_other_leaf_us(const tier_part_t *part)
+{
+	const route_stats_t *stats = &part->request->state->stats;
+	const tier_leaf_t *leaf,
+	    *sent_to = part->tried.leaves[part->tried.count - 1];
+	int64_t best_us = INT64_MAX;
+
+	LIST_FOREACH(leaf, &part->service->leaves, in_service)
+	{
+		int64_t expected_us = leaf_stats_get_expected_us(
+		    stats, &leaf->stats, *leaf->rtt_us);
+
+		if (leaf == sent_to || leaf->entry.is_draining)
+			continue;
+		if (leaf->connection_count <= leaf->in_flight)
+			expected_us += *leaf->rtt_us;
+		best_us = MIN(best_us, expected_us);
+	}
+	return best_us;
+}
+
+/* Under load, early hedges would only lengthen the queues. */
+bool
+part_is_loaded(const tier_part_t *part)
+{
+	const tier_service_t *service = part->service;
+
+	return part->request->tier->queued_part_count > 0 ||
+	       service->mean_latency_us >
+		   HEDGE_EARLY_MAX_LOAD * service->idle_latency_us;
+}
+
+/*
+ * A hedge is due when the attempt is overdue, or earlier if the other leaf
+ * could not answer within the objective after that.
+ */
+void
+part_update_hedge_time(tier_part_t *part)
+{
+	const tier_request_t *request = part->request;
+	const tier_leaf_t *leaf = part->tried.leaves[part->tried.count - 1];
+	const route_stats_t *stats = &request->state->stats;
+	int64_t overdue_us =
+	    leaf_stats_get_overdue_us(stats, &leaf->stats, *leaf->rtt_us);
+	int64_t earliest_us =
+	    HEDGE_EARLY_MARGIN_US +
+	    (int64_t)(HEDGE_EARLY_FACTOR *
+		      (double)leaf_stats_get_expected_us(
+			  stats, &leaf->stats, *leaf->rtt_us));
+	int64_t other_us = get_other_leaf_us(part);
+	int64_t latest_us = INT64_MAX;
+
+	if (other_us != INT64_MAX && request->route->is_gather &&
+	    !part_is_loaded(part))
+		latest_us = MAX(request->answer_by_us - other_us -
+				    HEDGE_EARLY_MARGIN_US - part->sent_us,
+		    earliest_us);
+	part->hedge_at_us = part->sent_us + MIN(overdue_us, latest_us);
+}
+
 static void
 send_attempt(
     tier_part_t *part, tier_leaf_t *leaf, int64_t now_us, bool is_extra)
@@ -72,8 +140,8 @@
 	part->sent_count++;
 	part->in_flight_count++;
 	part->tried.leaves[part->tried.count++] = leaf;
-	part->hedge_at_us = now_us + leaf_stats_get_overdue_us(route_stats,
-					 &leaf->stats, *leaf->rtt_us);
+	part->sent_us = now_us;
+	part_update_hedge_time(part);
 	request->next_check_us = MIN(request->next_check_us, part->hedge_at_us);
 	tier->next_check_us = MIN(tier->next_check_us, request->next_check_us);
 	request->may_have_run = true;
@@ -237,6 +305,7 @@
 		    part->state != PART_SENT || part->in_flight_count > 1)
 			continue;
 		part->hedge_at_us = now_us;
+		part->is_hedge_fixed = true;
 		part->request->next_check_us = now_us;
 		tier->next_check_us = now_us;
 	}
@@ -288,6 +357,7 @@
 	const char *why_not;
 
 	part->hedge_at_us = now_us + HEDGE_RETRY_DELAY_US;
+	part->is_hedge_fixed = true;
 	if (open != NULL)
 		record_stall(tier, open->leaf, now_us);
 	if (!part->request->route->is_idempotent)
--- a/src/tier.c
+++ b/src/tier.c
@@ -17,7 +17,10 @@
 #define SWEEP_INTERVAL_US      50000  /* between scans for overdue attempts */
 #define RETRY_AFTER_US	       300000 /* without a configuration */
 #define NEVER_US	       (INT64_MAX / 2)
-#define SPREAD_MARGIN	       1.6	/* of the mean: covers most requests */
+#define SPREAD_MARGIN	       1.6   /* of the mean: covers most requests */
+#define HEDGE_REVIEW_US	       15000 /* between updates of hedge times */
+#define LATE_CHECK_US	       5000
+#define LATE_CHECK_RETRY_US    1000
 #define STARTUP_US	       10000000 /* leaves close dead connections by then */
 
 static void
@@ -212,8 +215,8 @@
 	else
 		request->answer_by_us = NEVER_US; /* already late */
 	if (route->is_gather)
-		request->next_check_us =
-		    MIN(request->next_check_us, request->late_limit_us);
+		request->next_check_us = MIN(request->next_check_us,
+		    MIN(request->late_limit_us, arrived_us + HEDGE_REVIEW_US));
 }
 
 static tier_request_t *
@@ -496,9 +499,41 @@
 	}
 }
 
+/*
+ * Hedges the parts that are due. A check that comes late shows that this
+ * process was busy: answers may wait to be read, therefore it reads them first.
+ */
+static void
+hedge_parts(tier_request_t *request, int64_t now_us, bool is_late)
+{
+	if (is_late) {
+		request->next_check_us =
+		    MIN(request->next_check_us, now_us + LATE_CHECK_RETRY_US);
+		return;
+	}
+	for (int i = 0; i < request->part_count; i++) {
+		tier_part_t *part = &request->parts[i];
+
+		if (part->state != PART_SENT)
+			continue;
+		/* Answers of other parts have told more of the leaves. */
+		if (!part->is_hedge_fixed && !part_is_loaded(part))
+			part_update_hedge_time(part);
+		if (part->hedge_at_us <= now_us)
+			part_hedge(part, now_us);
+		request->next_check_us =
+		    MIN(request->next_check_us, part->hedge_at_us);
+	}
+	if (request->next_check_us > now_us + HEDGE_REVIEW_US &&
+	    request->route->is_gather && request->answer_by_us < NEVER_US)
+		request->next_check_us = now_us + HEDGE_REVIEW_US;
+}
+
 static void
 check_request(tier_request_t *request, int64_t now_us)
 {
+	bool is_late = now_us - request->next_check_us > LATE_CHECK_US;
+
 	if (now_us >= request->deadline_us) {
 		if (request->route->is_gather && tier_has_enough_parts(request))
 			tier_finish_gather(request, now_us);
@@ -522,16 +557,7 @@
 	if (request->route->is_gather && request->late_limit_us > now_us)
 		request->next_check_us =
 		    MIN(request->next_check_us, request->late_limit_us);
-	for (int i = 0; i < request->part_count; i++) {
-		tier_part_t *part = &request->parts[i];
-
-		if (part->state != PART_SENT)
-			continue;
-		if (part->hedge_at_us <= now_us)
-			part_hedge(part, now_us);
-		request->next_check_us =
-		    MIN(request->next_check_us, part->hedge_at_us);
-	}
+	hedge_parts(request, now_us, is_late);
 }
 
 /* Closes attempts whose close time has passed without an answer. */
--- a/src/tier_private.h
+++ b/src/tier_private.h
@@ -30,7 +30,9 @@
 	int in_flight_count; /* attempts without an outcome */
 	int restart_count;
 	bool is_hedge_logged; /* the hedge or its obstacle was logged */
+	bool is_hedge_fixed;  /* hedged, or a hedge was not possible */
 	bool may_have_run;    /* an attempt ended and may have run */
+	int64_t sent_us;      /* the latest attempt */
 	int64_t hedge_at_us;
 	leaf_exclusions_t tried;
 };
@@ -104,6 +106,9 @@
 void part_queue(tier_part_t *part, int rank);
 void part_unqueue(tier_part_t *part);
 void part_start(tier_part_t *part, int64_t now_us, bool is_extra);
+/** Sets when to hedge, from what is known now of the leaves. */
+void part_update_hedge_time(tier_part_t *part);
+bool part_is_loaded(const tier_part_t *part); /* its service has queues */
 void part_hedge(tier_part_t *part, int64_t now_us);
 void part_fail(tier_part_t *part);
 tier_part_t *part_get_most_urgent(
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -9,6 +9,7 @@
  *                                  error shed slow moved; leaf=all for all
  * GET  /store?mode=M               M: up down silent busy slow lost compact
  * GET  /leaf?id=ID&state=S         S: ready draining gone bad
+ * GET  /drain-while-listed?id=ID   it drains between two pages of a list
  * GET  /entry?id=ID&state=S&service=N&address=A&zone=Z   a leaf elsewhere
  * GET  /configuration?version=N&set=NAME&shards=N   the next configuration
  * GET  /churn?version=N            N changes of one leaf's entry
@@ -183,6 +184,9 @@
 		set_fault(site, leaf, kind, share);
 	else if (g_str_has_prefix(target, "/leaf"))
 		set_leaf(site, id, state);
+	else if (g_str_has_prefix(target, "/drain-while-listed"))
+		g_strlcpy(site->drained_while_listed, id,
+		    sizeof(site->drained_while_listed));
 	else if (g_str_has_prefix(target, "/entry"))
 		set_entry(site, id, state, target);
 	else if (g_str_has_prefix(target, "/churn"))
@@ -402,6 +406,8 @@
 	struct arg_int *shards = arg_int0(NULL, "shards", "N", "shards (6)");
 	struct arg_int *work =
 	    arg_int0(NULL, "work-ms", "N", "mean work of a request (5)");
+	struct arg_int *page =
+	    arg_int0(NULL, "page", "N", "objects on a page of a list (all)");
 	struct arg_str *leaf = arg_str0(
 	    NULL, "leaf", "ID,SERVICE,PORT", "no store, and only this leaf");
 	struct arg_lit *store = arg_lit0(NULL, "store", "no leafs");
@@ -409,7 +415,8 @@
 	    arg_lit0(NULL, "tell", "print a line for each arrival and run");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { port, shards, work, leaf, store, tell, help, end };
+	void *table[] = { port, shards, work, page, leaf, store, tell, help,
+		end };
 	site_t site = { 0 };
 	int errors = arg_parse(argc, argv, table);
 
@@ -425,6 +432,7 @@
 	begin_site(&site);
 	site.shards = shards->count > 0 ? shards->ival[0] : 6;
 	site.work_ms = work->count > 0 ? work->ival[0] : 5;
+	site.page_items = page->count > 0 ? page->ival[0] : 0;
 	site.is_told = tell->count > 0;
 	open_port(&site, PORT_CONTROL, port->ival[0], NULL);
 	if (leaf->count > 0 && !add_leaf(&site, leaf->sval[0]))
--- a/stand-ins/site.h
+++ b/stand-ins/site.h
@@ -56,6 +56,9 @@
 	int64_t revision, oldest;
 	char mode[16];
 	int shards, work_ms;
+	int page_items; /* of a list; 0: all on one page */
+	/* Leaf that drains after the first page of the next list; "": none */
+	char drained_while_listed[64];
 	GHashTable *runs; /* request id + service -> count */
 	int run_count, unasked, twice;
 	bool is_told; /* arrivals and runs are printed, a line each */
--- a/stand-ins/site_store.c
+++ b/stand-ins/site_store.c
@@ -115,6 +115,19 @@
 	g_free(key);
 }
 
+/* A leaf reports that it drains while a VM reads the list. */
+static void
+drain_while_listed(site_t *site)
+{
+	site_leaf_t *leaf = site_leafs_find(site, site->drained_while_listed);
+
+	site->drained_while_listed[0] = '\0';
+	if (leaf == NULL)
+		return;
+	leaf->is_draining = true;
+	site_store_put_leaf(site, leaf, "draining");
+}
+
 static void
 list_kind(site_link_t *link, const char *kind)
 {
@@ -123,16 +136,28 @@
 	    g_hash_table_get_keys(site->objects), (GCompareFunc)strcmp);
 	json_t *items = json_array();
 	char *prefix = g_strdup_printf("%s/", kind);
+	char *after = site_get_query(http_get_target(&link->message), "after");
+	bool has_more = false;
 
-	for (GList *key = keys; key != NULL; key = key->next)
-		if (g_str_has_prefix(key->data, prefix))
+	for (GList *key = keys; key != NULL && !has_more; key = key->next) {
+		if (!g_str_has_prefix(key->data, prefix) ||
+		    (after != NULL &&
+			strcmp((char *)key->data + strlen(prefix), after) <= 0))
+			continue;
+		has_more = site->page_items > 0 &&
+			   json_array_size(items) >= (size_t)site->page_items;
+		if (!has_more)
 			json_array_append(items,
 			    g_hash_table_lookup(site->objects, key->data));
+	}
 	respond_json(link, 200,
-	    json_pack("{s:o,s:b,s:I}", "items", items, "has_more", 0,
+	    json_pack("{s:o,s:b,s:I}", "items", items, "has_more", has_more,
 		"current_rev", (json_int_t)site->revision));
+	if (has_more && strcmp(kind, "servers") == 0 && after == NULL)
+		drain_while_listed(site);
 	g_list_free(keys);
 	g_free(prefix);
+	g_free(after);
 }
 
 /* Replaces the spec or the status, if the revision is as expected. */
--- a/tests/cases/tier_followers.sh
+++ b/tests/cases/tier_followers.sh
@@ -56,6 +56,7 @@
 in_force 1 2 4
 
 echo "== malformed calls to the VMs"
+trap '' PIPE # a VM may close before it has read all
 peers() { echo $((tier_port + 150 + $1)); }
 send() { # bytes; to VMs 1, 2 and 4
 	for n in 1 2 4; do
