Do not reuse a connection whose failure is being reported

Cause: a connection that was opened early may be used while it connects, so find_idle_connection also took the one whose failed connect was just being reported; the pool freed it afterwards under the request that was sent again.

--- a/src/pool.c
+++ b/src/pool.c
@@ -36,6 +36,7 @@
 	int skipped_count;	  /* answers to other requests */
 	bool has_received;	  /* bytes were received on it */
 	bool is_open, must_close; /* must_close: after this answer */
+	bool is_finishing; /* its answer is being reported: not to be used */
 } leaf_connection_t;
 
 struct leaf_pool {
@@ -153,10 +154,9 @@
 	pool_t *pool = leaf_pool->pool;
 	tier_attempt_t *attempt = connection->attempt;
 	leaf_answer_t copy = *answer;
-	int64_t reuse_until_us = connection->reuse_until_us;
 
 	/* The callback reads the message: no new request may reuse it yet. */
-	connection->reuse_until_us = 0;
+	connection->is_finishing = true;
 	connection->attempt = NULL;
 	if (attempt != NULL)
 		attempt->connection = NULL;
@@ -167,7 +167,7 @@
 		http_message_reset(&connection->message);
 		set_buffered_bytes(connection, 0);
 		connection->skipped_count = 0;
-		connection->reuse_until_us = reuse_until_us;
+		connection->is_finishing = false;
 		connection->idle_since_us = clock_get_us();
 	} else
 		destroy_connection(connection);
@@ -208,7 +208,7 @@
 	leaf_connection_t *connection, *best = NULL;
 
 	LIST_FOREACH(connection, &leaf_pool->connections, in_pool)
-	if (connection->attempt == NULL &&
+	if (connection->attempt == NULL && !connection->is_finishing &&
 	    (connection->reuse_until_us > now_us || !connection->is_open) &&
 	    (best == NULL || connection->reuse_until_us > best->reuse_until_us))
 		best = connection;
@@ -301,7 +301,7 @@
 	for (connection = LIST_FIRST(&leaf_pool->connections);
 	     connection != NULL; connection = next) {
 		next = LIST_NEXT(connection, in_pool);
-		if (connection->attempt == NULL)
+		if (connection->attempt == NULL && !connection->is_finishing)
 			destroy_connection(connection);
 	}
 	destroy_if_unused(leaf_pool);
