Let a reader find out sooner that it is cut off from the store

Cause: a reader that loses the store without a reset vouched for its view for up to 5.1 s, longer than the bounds of small sites (3 s), and its followers, which reach the store themselves, with it.

A reader lists the readers, stale, once in a sixth of the smaller bound, waits as long for the answer, and refuses its followers when none comes. A call that is overdue is given up only after what waits in its socket was read, because a small VM may not have been scheduled.

tests/view_source, a reader is cut off without a sign: 5.10 s before, at most 2 s now.

--- a/src/store_client.c
+++ b/src/store_client.c
@@ -61,6 +61,7 @@
 	bool is_to_store;	   /* the call in progress */
 	http_message_t message;
 	bool is_in_call, is_listed;
+	bool is_overdue; /* its time is over; an answer may wait to be read */
 	bool is_lost;	 /* the last call to the store failed */
 	int64_t lost_us; /* time of the last failure */
 	int64_t revision, list_revision;
@@ -282,7 +283,7 @@
 		feeds[FEED_CONFIGURATION].is_listed &&
 		feeds[FEED_LEAVES].is_listed &&
 		!feeds[FEED_CONFIGURATION].is_lost &&
-		!feeds[FEED_LEAVES].is_lost);
+		!feeds[FEED_LEAVES].is_lost && !feeds[FEED_READERS].is_lost);
 }
 
 static const char *
@@ -450,6 +451,7 @@
 		return;
 	}
 	feed->is_in_call = true;
+	feed->is_overdue = false;
 	feed->sent_us = clock_get_us();
 	feed->timeout_us = feed->sent_us + timeout_us;
 	metric_add(
@@ -463,15 +465,19 @@
 send_list(feed_state_t *feed, bool is_to_store, bool may_be_stale)
 {
 	GString *call = g_string_new(NULL);
+	int64_t timeout_us = CALL_TIMEOUT_US;
 
 	if (feed->step != STEP_LISTING) {
 		feed->last_name[0] = '\0';
 		g_hash_table_remove_all(feed->listed_names);
 		g_array_set_size(feed->listed_readers, 0);
 	}
+	if (feed->feed == FEED_READERS && feed->client->mode == VIEW_READING)
+		timeout_us = MIN(
+		    timeout_us, view_source_get_probe_us(feed->client->source));
 	feed->client->protocol->write_list(
 	    call, feed->feed, feed->last_name, may_be_stale);
-	send_call(feed, call, is_to_store, CALL_TIMEOUT_US);
+	send_call(feed, call, is_to_store, timeout_us);
 	if (feed->is_in_call)
 		feed->step = STEP_LISTING;
 	g_string_free(call, TRUE);
@@ -873,8 +879,14 @@
 {
 	store_client_t *client = feed->client;
 
-	if (feed->is_in_call && now_us >= feed->timeout_us)
-		fail_call(feed, "timeout");
+	/* If this process was not scheduled, it reads what waits first. */
+	if (feed->is_in_call && now_us >= feed->timeout_us) {
+		if (feed->is_overdue)
+			fail_call(feed, "timeout");
+		else
+			loop_wake(client->loop);
+		feed->is_overdue = true;
+	}
 	if (!feed->is_in_call && feed->feed == FEED_READERS)
 		begin_readers_step(feed, now_us);
 	else if (!feed->is_in_call && now_us >= feed->next_call_us)
--- a/src/view_source.c
+++ b/src/view_source.c
@@ -15,7 +15,9 @@
 
 #include "view_source.h"
 
-#define LIST_INTERVAL_US      800000  /* while searching; plus up to as much */
+#define LIST_INTERVAL_US      800000 /* while searching; plus up to as much */
+#define PROBE_FRACTION	      (1.0 / 6) /* of drain_us or apply_us */
+#define PROBE_MIN_US	      300000
 #define READER_PROBE_US	      300000  /* of a lost store, by a reader */
 #define REPORT_INTERVAL_US    5000000 /* of a reader */
 #define FAILED_MIN_US	      150000  /* a failed reader is tried again */
@@ -154,6 +156,16 @@
 	return &source->own;
 }
 
+/* A reader that is cut off must notice before its followers' bounds end. */
+int64_t
+view_source_get_probe_us(const view_source_t *source)
+{
+	int64_t bound_us =
+	    MIN(source->options.drain_us, source->options.apply_us);
+
+	return MAX((int64_t)(PROBE_FRACTION * (double)bound_us), PROBE_MIN_US);
+}
+
 /* When to list again after a list, in the present mode. */
 static int64_t
 get_next_list_us(view_source_t *source, int64_t now_us)
@@ -163,7 +175,7 @@
 		return now_us + LIST_INTERVAL_US +
 		       draw_us(source, LIST_INTERVAL_US);
 	case VIEW_READING:
-		return now_us + source->options.apply_us;
+		return now_us + view_source_get_probe_us(source);
 	case VIEW_DIRECT:
 		return source->direct_until_us;
 	case VIEW_FOLLOWING:
--- a/src/view_source.h
+++ b/src/view_source.h
@@ -68,6 +68,9 @@
 /** VMs of the tier; 0: unknown. */
 int view_source_get_vm_count(const view_source_t *source, int64_t now_us);
 
+/** Interval of a reader's lists, and how long it waits for an answer. */
+int64_t view_source_get_probe_us(const view_source_t *source);
+
 /** Advances time; due_us is set to when to call again. */
 view_task_t view_source_tick(
     view_source_t *source, int64_t now_us, int64_t *due_us);
--- a/tests/view_source.c
+++ b/tests/view_source.c
@@ -22,7 +22,7 @@
 #define WRITES_MAX 4096
 #define STALE_COST 0.1
 #define EVENT_US   20000000 /* time of each pattern's event */
-#define RUN_US	   45000000
+#define RUN_US	   55000000 /* a count may peak for 15 s after the event */
 #define DRAIN_US   6000000
 
 typedef enum incident {
@@ -33,6 +33,7 @@
 	EVENT_ALL_RESTART,	   /* all lose power for 1 s */
 	EVENT_STORE_DOWN,	   /* for 5 s */
 	EVENT_READERS_TURNED_AWAY, /* the store rejects the readers for 9 s */
+	EVENT_READER_CUT,	   /* one reader is cut off without a sign */
 	EVENT_ANSWERS_LOST	   /* answers to writes are lost for 9 s */
 } incident_t;
 
@@ -57,6 +58,8 @@
 	{ "the store is down", 295, EVENT_STORE_DOWN, 6, 8, 4 },
 	{ "the store turns all readers away", 295, EVENT_READERS_TURNED_AWAY, 6,
 	    3, 5 },
+	{ "a reader is cut off without a sign", 295, EVENT_READER_CUT, 6, 2.2,
+	    2 },
 	{ "answers to claims are lost", 295, EVENT_ANSWERS_LOST, 6, 3, 4 },
 };
 
@@ -64,6 +67,9 @@
 	view_source_t *source;
 	char id[NAME_BYTES], zone[NAME_BYTES], address[ENDPOINT_BYTES];
 	bool is_alive, is_frozen, is_turned_away, was_turned_away;
+	bool is_cut;	    /* from the store, both ways, without a reset */
+	bool is_doubting;   /* its last list was not answered */
+	int64_t vouched_us; /* last answer to a follower */
 	view_task_t task;
 	int64_t task_end_us, due_us, poll_us, unserved_since_us, silent_us;
 	int64_t worst_gap_us, listed_us;
@@ -168,7 +174,8 @@
 	int64_t age_us =
 	    is_fresh ? 0 : (int64_t)(gsl_rng_uniform(world->random) * STALE_US);
 
-	if (!reaches_store(world, vm)) {
+	vm->is_doubting = vm->is_cut;
+	if (!reaches_store(world, vm) || vm->is_cut) {
 		view_source_fail_list(vm->source, world->now_us);
 		return;
 	}
@@ -183,7 +190,7 @@
 	const reader_entry_t *entry = find_entry(world, own->zone);
 	view_write_result_t result = VIEW_WRITE_CONFLICT;
 
-	if (!reaches_store(world, vm)) {
+	if (!reaches_store(world, vm) || vm->is_cut) {
 		view_source_handle_write(
 		    vm->source, world->now_us, VIEW_WRITE_FAILED, NULL);
 		return;
@@ -208,14 +215,17 @@
 static int
 ask_reader(world_t *world, const char *address)
 {
-	const vm_t *reader = find_vm(world, address);
+	vm_t *reader = find_vm(world, address);
 
 	if (reader == NULL || !reader->is_alive)
 		return 0;
 	if (reader->is_frozen)
 		return -1;
-	return view_source_get_mode(reader->source) == VIEW_READING &&
-	       reaches_store(world, reader);
+	if (view_source_get_mode(reader->source) != VIEW_READING ||
+	    !reaches_store(world, reader) || reader->is_doubting)
+		return 0;
+	reader->vouched_us = world->now_us;
+	return 1;
 }
 
 static void
@@ -276,7 +286,10 @@
 		vm->due_us = due_us;
 		if (task != VIEW_TASK_NONE) {
 			vm->task = task;
-			vm->task_end_us = world->now_us + STORE_US;
+			vm->task_end_us =
+			    world->now_us +
+			    (vm->is_cut ? view_source_get_probe_us(vm->source)
+					: STORE_US);
 			world->calls += task == VIEW_TASK_LIST ? STALE_COST : 1;
 		}
 	}
@@ -286,7 +299,7 @@
 	else if (mode != VIEW_SEARCHING) {
 		is_served = reaches_store(world, vm);
 		view_source_set_store_lost(
-		    vm->source, world->now_us, !is_served);
+		    vm->source, world->now_us, !is_served || vm->is_doubting);
 		if (mode == VIEW_DIRECT && !vm->is_turned_away &&
 		    vm->unserved_since_us != 0)
 			world->calls += 2; /* its watches */
@@ -366,8 +379,11 @@
 			vm->is_frozen = true;
 		if (event == EVENT_READERS_TURNED_AWAY)
 			vm->is_turned_away = vm->was_turned_away = true;
-		is_done =
-		    event == EVENT_READER_LOST || event == EVENT_READER_FROZEN;
+		if (event == EVENT_READER_CUT)
+			vm->is_cut = vm->was_turned_away = true;
+		is_done = event == EVENT_READER_LOST ||
+			  event == EVENT_READER_FROZEN ||
+			  event == EVENT_READER_CUT;
 	}
 }
 
@@ -407,6 +423,7 @@
 	const struct pattern *pattern = world->pattern;
 	double calls_vm = world->calls / pattern->vms;
 	int alive = 0, readers = 0, wrong_counts = 0;
+	int64_t stale_us = 0;
 	bool is_good = true;
 
 	for (int i = 0; i < pattern->vms; i++) {
@@ -414,6 +431,8 @@
 
 		if (!vm->is_alive)
 			continue;
+		if (vm->is_cut)
+			stale_us = MAX(stale_us, vm->vouched_us - EVENT_US);
 		alive++;
 		readers += view_source_get_mode(vm->source) == VIEW_READING;
 	}
@@ -431,6 +450,9 @@
 	if (pattern->event != EVENT_NONE)
 		is_good &= check("time without a source, s",
 		    take_worst_gap_s(world), pattern->gap_s);
+	/* Two sixths of the bound: one to ask, one to wait for the answer. */
+	is_good &= check("view of a reader that is cut off, s",
+	    (double)stale_us / 1e6, DRAIN_US / 3e6);
 	is_good &= check("store calls a VM", calls_vm, pattern->calls_vm);
 	is_good &= check("readers", readers, ZONES + 1);
 	is_good &= check("zones without a reader", ZONES - readers, 0);
