Search for another reader when the followed one's entry is deleted

Cause, found while reading: a VM whose reader's entry was deleted by an operator stayed in the mode FOLLOWING without a reader to follow. tests/view_source, the entry of the reader is deleted: failed before. Also: step_down, which had become one call of search, and a field that nothing read are gone.

--- a/src/view_source.c
+++ b/src/view_source.c
@@ -60,7 +60,7 @@
 	int64_t search_until_us; /* then DIRECT; 0: not searching */
 	int64_t direct_until_us;
 	int64_t claim_due_us; /* NEVER_US: the zone has a reader */
-	int64_t stepped_down_us, store_lost_us, reading_since_us;
+	int64_t store_lost_us, reading_since_us;
 	int64_t report_due_us;
 	int follower_count, reported_count;
 	int peak_count;
@@ -292,13 +292,6 @@
 		set_mode(source, now_us, VIEW_SEARCHING, why);
 }
 
-static void
-step_down(view_source_t *source, int64_t now_us, const char *why)
-{
-	source->stepped_down_us = now_us;
-	search(source, now_us, why);
-}
-
 static void
 begin_reading(view_source_t *source, int64_t now_us, const char *why)
 {
@@ -344,7 +337,7 @@
 			begin_reading(
 			    source, now_us, "the zone's entry names this VM");
 	} else if (source->mode == VIEW_READING)
-		step_down(source, now_us, "another VM reads for the zone");
+		search(source, now_us, "another VM reads for the zone");
 }
 
 /* A reader of the own zone is preferred as soon as there is a sound one. */
@@ -433,6 +426,8 @@
 	apply_own_entry(source, now_us, is_from_store);
 	if (source->mode == VIEW_SEARCHING)
 		search(source, now_us, "readers are known");
+	else if (source->mode == VIEW_FOLLOWING && find_current(source) == NULL)
+		search(source, now_us, "the reader's entry was deleted");
 	else if (source->mode == VIEW_DIRECT &&
 		 now_us >= source->direct_until_us) {
 		source->direct_until_us =
@@ -585,7 +580,7 @@
 	if (source->mode == VIEW_READING && source->store_lost_us != 0 &&
 	    now_us - source->store_lost_us > READER_STORE_LOST_US &&
 	    choose_reader(source, now_us) != NULL)
-		step_down(source, now_us, "the store does not answer");
+		search(source, now_us, "the store does not answer");
 	if (source->mode != VIEW_SEARCHING || !source->are_readers_known)
 		return;
 	if (choose_reader(source, now_us) != NULL)
--- a/tests/view_source.c
+++ b/tests/view_source.c
@@ -507,10 +507,51 @@
 	return is_good;
 }
 
+/* An operator deletes the entry of the reader that a VM follows. */
+static bool
+check_deleted_entry(void)
+{
+	world_t *world = g_new0(world_t, 1);
+	reader_entry_t entry = { .zone = "zone-1",
+		.vm = "other",
+		.address = "10.0.0.9:7000",
+		.revision = 5 };
+	int64_t now_us = 0, due_us;
+	view_task_t task = VIEW_TASK_NONE;
+	bool is_good;
+
+	printf("the entry of the reader is deleted\n");
+	world->random = gsl_rng_alloc(gsl_rng_taus2);
+	world->regions = g_hash_table_new(g_str_hash, g_str_equal);
+	g_strlcpy(world->vms[0].id, "vm0", sizeof(world->vms[0].id));
+	g_strlcpy(world->vms[0].zone, "zone-0", sizeof(world->vms[0].zone));
+	start_vm(world, &world->vms[0]);
+	for (; task != VIEW_TASK_LIST_FRESH; now_us += STEP_US) {
+		view_source_t *source = world->vms[0].source;
+
+		task = view_source_tick(source, now_us, &due_us);
+		if (task == VIEW_TASK_LIST)
+			view_source_set_readers(
+			    source, now_us, &entry, 1, true);
+		else if (task == VIEW_TASK_CLAIM)
+			view_source_handle_write(
+			    source, now_us, VIEW_WRITE_FAILED, NULL);
+	}
+	view_source_set_readers(world->vms[0].source, now_us, NULL, 0, true);
+	is_good = view_source_get_mode(world->vms[0].source) != VIEW_FOLLOWING;
+	if (!is_good)
+		printf("  FAIL: it follows nobody\n");
+	view_source_destroy(world->vms[0].source);
+	g_hash_table_unref(world->regions);
+	gsl_rng_free(world->random);
+	g_free(world);
+	return is_good;
+}
+
 int
 main(void)
 {
-	bool is_good = true;
+	bool is_good = check_deleted_entry();
 
 	for (size_t i = 0; i < G_N_ELEMENTS(patterns); i++)
 		for (uint64_t seed = 1; seed <= 3; seed++)
