Send an order on a connection of its own, so that libcurl cannot repeat it

Cause: libcurl sends a request again when a reused connection closes before the first byte of the reply, an order too; no option turns that off. An upstream that ran the order and lost its answer got it a second time.

fetch_send_once opens a connection; leaf.c uses it for orders. Ruled out: CURLOPT_FORBID_REUSE (closes after the request, which comes too late).

--- a/src/fetch.c
+++ b/src/fetch.c
@@ -2,9 +2,9 @@
  * @file fetch.c
  * HTTP client over curl's multi interface, driven by an event loop.
  *
- * This module never repeats a request, since an order must not be sent twice.
- * libcurl itself resends a request if a reused connection closes before the
- * first byte of the reply.
+ * libcurl resends a request if a reused connection closes before the first byte
+ * of the reply, and has no option against it. A request that must not be sent
+ * twice, an order, therefore goes on a new connection: fetch_send_once().
  */
 #include <curl/curl.h>
 #include <string.h>
@@ -111,8 +111,8 @@
 	return (int)g_hash_table_size(fetch->running);
 }
 
-void
-fetch_send(fetch_t *fetch, const char *method, const char *url,
+static void
+send_request(fetch_t *fetch, bool is_once, const char *method, const char *url,
     const char *body, size_t length, int64_t timeout_us, uint64_t tag,
     fetch_fn_t callback, void *context)
 {
@@ -139,6 +139,7 @@
 	    easy, CURLOPT_TIMEOUT_MS, (long)MAX(1, timeout_us / 1000));
 	curl_easy_setopt(
 	    easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, is_once ? 1L : 0L);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
@@ -159,6 +160,24 @@
 	curl_multi_add_handle(fetch->multi, easy);
 }
 
+void
+fetch_send(fetch_t *fetch, const char *method, const char *url,
+    const char *body, size_t length, int64_t timeout_us, uint64_t tag,
+    fetch_fn_t callback, void *context)
+{
+	send_request(fetch, false, method, url, body, length, timeout_us, tag,
+	    callback, context);
+}
+
+void
+fetch_send_once(fetch_t *fetch, const char *method, const char *url,
+    const char *body, size_t length, int64_t timeout_us, uint64_t tag,
+    fetch_fn_t callback, void *context)
+{
+	send_request(fetch, true, method, url, body, length, timeout_us, tag,
+	    callback, context);
+}
+
 static int
 update_socket_watch(CURL *easy, curl_socket_t fd, int poll_action,
     void *context, void *socket_context)
--- a/src/leaf.c
+++ b/src/leaf.c
@@ -87,7 +87,8 @@
 	}
 	snprintf(url, sizeof(url), "http://%s/leaf/%d/%s", action->address,
 	    action->leaf_number, action->is_order ? "order" : "search");
-	fetch_send(pool->fetch, "POST", url, action->body, action->body_length,
+	(action->is_order ? fetch_send_once : fetch_send)(pool->fetch, "POST",
+	    url, action->body, action->body_length,
 	    action->timeout_us + TIMEOUT_MARGIN_US, action->job, handle_reply,
 	    client);
 }
--- a/src/plantainarch.h
+++ b/src/plantainarch.h
@@ -730,6 +730,10 @@
 void fetch_send(fetch_t *fetch, const char *method, const char *url,
     const char *body, size_t length, int64_t timeout_us, uint64_t tag,
     fetch_fn_t callback, void *context);
+/** The same on a new connection: the request is never sent a second time. */
+void fetch_send_once(fetch_t *fetch, const char *method, const char *url,
+    const char *body, size_t length, int64_t timeout_us, uint64_t tag,
+    fetch_fn_t callback, void *context);
 void fetch_set_connections_max(fetch_t *fetch, long connections_max);
 int fetch_count_running(const fetch_t *fetch);
 /** Blocks until the reply is complete; for commands. Appends the body to reply
