--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")"
 mkdir -p build
-gcc -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -o build/standin standin.c -lm -lpthread
+gcc -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -o build/standin standin.c -lpthread
