Review: case 3 waits until each zone has its reader

Cause: on a slow machine the readers may settle later than 7 s after the start. Change: the script asks up to ten times, a second apart.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -19,9 +19,13 @@
 for n in 1 2 3 4 5 6 7 8 9; do wait_ready "$n" 10 || cannot_run "vm $n is not ready"; done
 say sleep 7000
 
-readers=() others=()
-for n in 1 2 3 4 5 6 7 8 9; do
-	if [ "$(vm_metric "$n" tier_view)" = 3 ]; then readers+=("$n"); else others+=("${callers_port[$n]}"); fi
+for tries in $(seq 10); do
+	readers=() others=()
+	for n in 1 2 3 4 5 6 7 8 9; do
+		if [ "$(vm_metric "$n" tier_view)" = 3 ]; then readers+=("$n"); else others+=("${callers_port[$n]}"); fi
+	done
+	[ "${#readers[@]}" = 3 ] && break
+	say sleep 1000
 done
 say mark "read for the others: ${readers[*]}"
 [ "${#readers[@]}" = 3 ] || cannot_run "${#readers[@]} VMs read the store"
