--- a/review/lib.sh
+++ b/review/lib.sh
@@ -19,14 +19,21 @@
 	: >"$record" || exit 2
 	work=$(mktemp -d) || exit 2
 	trap cleanup EXIT
+	trap '' PIPE
 	[ -x "$root/target/plantainarch" ] || cannot_run "target/plantainarch is not built"
 	[ -x "$root/review/build/standin" ] || cannot_run "review/build.sh has not run"
-	mapfile -t ports < <("$root/review/build/standin" ports 200)
-	store_port=${ports[0]} next_port=1
 	mkfifo "$work/commands" "$work/replies"
-	"$root/review/build/standin" run "$store_port" "$record" <"$work/commands" >"$work/replies" &
-	standin=$!; disown; pids+=("$standin")
-	exec 3>"$work/commands" 4<"$work/replies"
+	for tries in 1 2 3 4 5; do # another script may take the same ports at that moment
+		mapfile -t ports < <("$root/review/build/standin" ports 200)
+		store_port=${ports[0]} next_port=1
+		"$root/review/build/standin" run "$store_port" "$record" <"$work/commands" >"$work/replies" &
+		standin=$!; disown; pids+=("$standin")
+		exec 3>"$work/commands" 4<"$work/replies"
+		echo "mark the stand-ins are ready" >&3
+		read -r reply <&4 && return
+		exec 3>&- 4<&-
+	done 2>/dev/null
+	cannot_run "the stand-ins do not start"
 }
 
 take_port() { port=${ports[$next_port]}; next_port=$((next_port + 1)); }
