Review: sounder stand-ins, and scripts that end only their own processes

Cause: the store answered again on a connection that had lost an answer, leafs worked past the time limit, clients opened connections to a VM that was not ready, and the scripts could signal an id that another process had taken meanwhile.

--- a/review/lib.sh
+++ b/review/lib.sh
@@ -5,14 +5,27 @@
 TROUBLE=${TROUBLE:-1}
 pids=()
 
+# Whether the process is still a child of this script, so that its id is its own.
+is_own() { grep -qsx "PPid:	$$" "/proc/$1/status"; }
+
 cleanup() {
 	local pid
-	for pid in "${pids[@]}"; do kill -CONT "$pid"; kill -9 "$pid"; done 2>/dev/null
-	wait 2>/dev/null
+	for pid in "${pids[@]}"; do
+		is_own "$pid" && { kill -CONT "$pid"; kill -9 "$pid"; }
+	done 2>/dev/null
+	for pid in "${pids[@]}"; do while is_own "$pid"; do sleep 0.05; done; done
 	rm -rf "$work"
 }
 
 cannot_run() { echo "cannot run: $*" | tee -a "$record"; exit 2; }
+watch_time() { # ends the script in time for the limit of 120 s
+	local script=$$
+	(
+		for tries in $(seq 110); do sleep 1; [ -d "/proc/$script" ] || exit; done
+		kill -TERM "$script"
+	) >/dev/null 2>&1 3>&- 4<&- &
+	pids+=("$!"); disown
+}
 
 begin() { # folder of the case
 	record=$1/record.txt
@@ -20,6 +33,8 @@
 	work=$(mktemp -d) || exit 2
 	trap cleanup EXIT
 	trap '' PIPE
+	trap 'cannot_run "not done within 110 s"' TERM
+	watch_time
 	[ -x "$root/target/plantainarch" ] || cannot_run "target/plantainarch is not built"
 	[ -x "$root/review/build/standin" ] || cannot_run "review/build.sh has not run"
 	mkfifo "$work/commands" "$work/replies"
@@ -92,8 +107,8 @@
 }
 
 wait_ready() { # number, seconds: whether it became ready
-	local tries
-	for tries in $(seq $(($2 * 10))); do is_ready "$1" && return 0; sleep 0.1; done
+	local end=$((SECONDS + $2))
+	while [ "$SECONDS" -le "$end" ]; do is_ready "$1" && return 0; sleep 0.1; done
 	return 1
 }
 
--- a/review/standin.c
+++ b/review/standin.c
@@ -13,6 +13,7 @@
  *   leaf ID SERVICE PORT WORK     a leaf that listens; WORK: ms of a run, 0.5
  * to 1.5 x extra ID SHARE                additional bytes after this share of
  * its answers clients N PORTS METHOD PATH DEADLINE_MS GAP_MS SECONDS PREFIX
+ *   rotation PORT 1|0              new connections go to it, or to others
  *   pairs N PORTS ...             the same; sends two requests in one write
  *   wait                          until the clients have ended
  *   sleep MS
@@ -81,7 +82,8 @@
 } reader_t;
 
 typedef struct client {
-	int port, deadline_ms, gap_ms, number;
+	int ports[16], port_count, home, port; /* port: of its connection */
+	int deadline_ms, gap_ms, number;
 	int64_t end_ms;
 	bool sends_pairs;
 	char method[16], path[128], prefix[64];
@@ -106,6 +108,7 @@
 	volatile bool is_silent;
 } store_port_t;
 
+static volatile bool is_out[65536]; /* VMs by port: out of rotation */
 static store_port_t store_ports[LEAFS_MAX];
 static int store_port_count;
 
@@ -467,8 +470,8 @@
 }
 
 static bool
-answer_watch(int fd, const store_port_t *port, const char *kind, long since,
-    long wait_ms)
+answer_watch(int fd, const store_port_t *port, bool *is_lost, const char *kind,
+    long since, long wait_ms)
 {
 	int64_t end_ms = now_ms() + wait_ms;
 	char *list = strdup(""), *body;
@@ -496,6 +499,7 @@
 	pthread_mutex_unlock(&store_lock);
 	free(list);
 	if (port->is_silent) {
+		*is_lost = true;
 		free(body);
 		return true;
 	}
@@ -578,6 +582,7 @@
 {
 	accepted_t accepted = *(accepted_t *)context;
 	const store_port_t *port = accepted.context;
+	bool is_lost = false; /* an answer: then nothing further comes */
 	reader_t *reader = calloc(1, sizeof(*reader));
 	message_t *message = calloc(1, sizeof(*message));
 	bool is_open = true;
@@ -587,7 +592,8 @@
 	while (is_open && read_message(reader, message, 0)) {
 		char method[16], target[512], path[512];
 
-		if (port->is_silent) { /* this call gets no answer, ever */
+		is_lost = is_lost || port->is_silent;
+		if (is_lost) {
 			free(message->body);
 			message->body = NULL;
 			continue;
@@ -602,8 +608,8 @@
 			is_open = answer_write(accepted.fd, method, path,
 			    message, get_query(target, "revision="));
 		else if (strstr(target, "watch=") != NULL)
-			is_open = answer_watch(accepted.fd, port, path,
-			    get_query(target, "watch="),
+			is_open = answer_watch(accepted.fd, port, &is_lost,
+			    path, get_query(target, "watch="),
 			    get_query(target, "wait_ms="));
 		else
 			is_open = answer_list(accepted.fd, path);
@@ -667,6 +673,9 @@
 	reader->fd = accepted.fd;
 	while (is_open && read_message(reader, message, 0)) {
 		char id[128], expected[128], headers[512], body[160];
+		char limit[64];
+		double limit_ms, work_ms;
+		bool is_late;
 
 		free(message->body);
 		message->body = NULL;
@@ -700,7 +709,13 @@
 		}
 		record("ran id=%s leaf=%s service=%s", id, leaf->id,
 		    leaf->service);
-		sleep_us((int64_t)(leaf->work_ms * (0.5 + draw()) * 1000));
+		limit_ms = get_header(message->head, "plantainarch-deadline-ms",
+			       limit, sizeof(limit)) != NULL
+			       ? strtod(limit, NULL)
+			       : 10000;
+		work_ms = leaf->work_ms * (0.5 + draw());
+		is_late = work_ms > limit_ms;
+		sleep_us((int64_t)((is_late ? limit_ms : work_ms) * 1000));
 		release_slot(leaf);
 		snprintf(headers, sizeof(headers),
 		    "Plantainarch-Request-Id: %s\r\n"
@@ -708,8 +723,8 @@
 		    id, leaf->service, leaf->id, id);
 		for (size_t i = 0; i < sizeof(body); i++)
 			body[i] = (char)('a' + 25 * draw());
-		is_open =
-		    respond(accepted.fd, 200, headers, body, sizeof(body));
+		is_open = respond(accepted.fd, is_late ? 504 : 200, headers,
+		    body, sizeof(body));
 		record("answered id=%s leaf=%s", id, leaf->id);
 		is_extra_due = draw() < leaf->extra;
 	}
@@ -770,6 +785,19 @@
 	record("sent id=%s vm=%d", id, client->port);
 }
 
+/* Its own VM, or the next one that is in rotation. */
+static void
+choose_port(client_t *client)
+{
+	for (int i = 0; i < client->port_count; i++) {
+		client->port =
+		    client->ports[(client->home + i) % client->port_count];
+		if (!is_out[client->port])
+			return;
+	}
+	client->port = client->ports[client->home];
+}
+
 /*
  * Sends one request, or two in one write, after the other on a kept connection,
  * without retries. After "Connection: close" it sends nothing more on it, and
@@ -791,6 +819,7 @@
 
 		sleep_us((int64_t)(client->gap_ms * 1000 * (0.5 + draw())));
 		if (reader->fd < 0) {
+			choose_port(client);
 			reader->fd = connect_to(client->port);
 			reader->length = 0;
 		}
@@ -860,20 +889,24 @@
 start_clients(const char *line)
 {
 	char ports[1024], method[16], path[128], prefix[64], *next, *port;
-	int count, deadline_ms, gap_ms;
+	int count, deadline_ms, gap_ms, list[16] = { 0 }, all = 0;
 	double seconds;
 
 	if (sscanf(line, "%*s %d %1023s %15s %127s %d %d %lf %63s", &count,
 		ports, method, path, &deadline_ms, &gap_ms, &seconds,
 		prefix) != 8)
 		exit(2);
-	for (port = strtok_r(ports, ",", &next); port != NULL;
-	     port = strtok_r(NULL, ",", &next)) {
+	for (port = strtok_r(ports, ",", &next); port != NULL && all < 16;
+	     port = strtok_r(NULL, ",", &next))
+		list[all++] = atoi(port);
+	for (int home = 0; home < all; home++) {
 		for (int i = 0; i < count; i++) {
 			static int number;
 			client_t *client = calloc(1, sizeof(*client));
 
-			client->port = atoi(port);
+			memcpy(client->ports, list, sizeof(list));
+			client->port_count = all;
+			client->home = home;
 			client->sends_pairs = strncmp(line, "pairs", 5) == 0;
 			client->deadline_ms = deadline_ms;
 			client->gap_ms = gap_ms;
@@ -957,7 +990,10 @@
 	} else if (strncmp(line, "clients ", 8) == 0 ||
 		   strncmp(line, "pairs ", 6) == 0)
 		start_clients(line);
-	else if (strcmp(line, "wait") == 0)
+	else if (sscanf(line, "rotation %d %lf", &port, &number) == 2) {
+		is_out[port & 65535] = number == 0;
+		record("rotation vm=%d in=%.0f", port, number);
+	} else if (strcmp(line, "wait") == 0)
 		while (__sync_fetch_and_add(&running_clients, 0) > 0)
 			sleep_us(10000);
 	else if (sscanf(line, "sleep %lf", &number) == 1)
