End the grace of a removed leaf within drain_ms of its removal

Cause: a removed entry stays usable for a while, in case an outage of the store removed it. That time began when this VM learned of the removal, up to 2.3 s after it when its reader was lost, and it was 2.5 s long because the failure of the reader counted as an outage of the store.

Evidence: in the log of a follower, the removal is read 1.86 s after it and the leaf is dropped at 4.35 s; no call of that VM to the store had failed.

Fix: each VM knows up to when its view was complete, readers tell the age of what they answer, and the grace ends within drain_ms less a margin of the last moment at which the entry surely existed. An outage of the store is shown only by this VM's own calls, lasts at least a second, and is not a waiting watch that was cut off. A reader that has not answered yet is asked without a wait, so that several dead ones cost half a second each.

--- a/src/events.h
+++ b/src/events.h
@@ -121,5 +121,7 @@
     "a sample, 1 in 100, of the requests that LOG_TIER_SERVED reports")
 LOG_EVENT(630, LOG_TIER_ENDLESS_ANSWER, G_LOG_LEVEL_WARNING,
     "a leaf sent more than an answer may hold; its connection was closed")
+LOG_EVENT(631, LOG_TIER_ENTRY_REMOVED, G_LOG_LEVEL_MESSAGE,
+    "a leaf's entry was removed; fields state its greatest age and the grace")
 LOG_EVENT(690, LOG_LINES_DROPPED, G_LOG_LEVEL_WARNING,
     "log lines of one event were dropped in a second; a field counts them")
--- a/src/feed_journal.c
+++ b/src/feed_journal.c
@@ -14,6 +14,7 @@
 typedef struct journal_page {
 	TAILQ_ENTRY(journal_page) in_journal;
 	int64_t to_revision, added_us;
+	int64_t since_us; /* no change in it happened before */
 	GString *body;
 } journal_page_t;
 
@@ -30,6 +31,8 @@
 	int64_t list_revision;	/* of the first page of the list */
 	int64_t since_revision; /* all later changes are here */
 	int64_t revision;
+	int64_t complete_us;   /* all changes up to then are here */
+	int64_t list_as_of_us; /* the list holds all changes up to then */
 };
 
 static void
@@ -91,7 +94,7 @@
 
 void
 feed_journal_finish_list(feed_journal_t *journal, int64_t now_us,
-    int64_t revision, bool is_continuous)
+    int64_t as_of_us, int64_t revision, bool is_continuous)
 {
 	GPtrArray *replaced = journal->list;
 	journal_page_t *page, *next;
@@ -109,6 +112,7 @@
 		}
 	}
 	journal->list_revision = revision;
+	journal->list_as_of_us = as_of_us;
 	if (!journal->is_listed || !is_continuous) {
 		journal->since_revision = revision;
 		journal->revision = revision;
@@ -118,7 +122,8 @@
 
 void
 feed_journal_add_changes(feed_journal_t *journal, int64_t now_us,
-    int64_t to_revision, int count, const char *body, size_t length)
+    int64_t since_us, int64_t to_revision, int count, const char *body,
+    size_t length)
 {
 	journal_page_t *page, *next;
 
@@ -130,6 +135,7 @@
 	page = g_new0(journal_page_t, 1);
 	page->to_revision = to_revision;
 	page->added_us = now_us;
+	page->since_us = since_us;
 	page->body = g_string_new_len(body, (gssize)length);
 	TAILQ_INSERT_TAIL(&journal->changes, page, in_journal);
 	journal->change_bytes += length;
@@ -141,6 +147,12 @@
 	}
 }
 
+void
+feed_journal_set_complete(feed_journal_t *journal, int64_t complete_us)
+{
+	journal->complete_us = complete_us;
+}
+
 bool
 feed_journal_has_list(const feed_journal_t *journal)
 {
@@ -149,10 +161,12 @@
 }
 
 const GString *
-feed_journal_find_list_page(const feed_journal_t *journal, const char *after)
+feed_journal_find_list_page(
+    const feed_journal_t *journal, const char *after, int64_t *as_of_us)
 {
 	if (!feed_journal_has_list(journal))
 		return NULL;
+	*as_of_us = journal->list_as_of_us;
 	for (guint i = 0; i < journal->list->len; i++) {
 		const list_page_t *page = g_ptr_array_index(journal->list, i);
 
@@ -163,16 +177,18 @@
 }
 
 journal_result_t
-feed_journal_find_changes(
-    const feed_journal_t *journal, int64_t revision, const GString **body)
+feed_journal_find_changes(const feed_journal_t *journal, int64_t revision,
+    const GString **body, int64_t *as_of_us)
 {
 	const journal_page_t *page;
 
+	*as_of_us = journal->complete_us;
 	if (!journal->is_listed || revision < journal->since_revision)
 		return JOURNAL_COMPACTED;
 	TAILQ_FOREACH (page, &journal->changes, in_journal) {
 		if (page->to_revision > revision) {
 			*body = page->body;
+			*as_of_us = page->since_us;
 			return JOURNAL_CHANGED;
 		}
 	}
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -156,31 +156,42 @@
 
 /* ---- Answers ---- */
 
+/* as_of_us: of the boot clock, which counts suspensions too. */
 static void
-answer(follower_t *follower, int status, const char *body, size_t length)
+answer(follower_t *follower, int status, int64_t as_of_us, const char *body,
+    size_t length)
 {
 	GString *out = g_string_truncate(follower->mirror->scratch, 0);
+	int64_t age_us = clock_get_boot_us() - as_of_us;
 
 	follower->is_waiting = false;
 	g_string_append_printf(out,
-	    "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
-	    "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
-	    status, http_get_reason_phrase(status), length);
+	    "HTTP/1.1 %d %s\r\nContent-Type: "
+	    "application/json\r\n" MIRROR_AGE_HEADER ": %" G_GINT64_FORMAT
+	    "\r\nContent-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
+	    status, http_get_reason_phrase(status), age_us / 1000, length);
 	g_string_append_len(out, body, (gssize)length);
 	stream_write(follower->stream, out->str, out->len);
 }
 
+static void
+refuse(follower_t *follower, int status)
+{
+	answer(follower, status, 0, "", 0);
+}
+
 static void
 answer_list(follower_t *follower)
 {
+	int64_t as_of_us = 0;
 	const GString *body = feed_journal_find_list_page(
 	    follower->mirror->journals[follower->call.feed],
-	    follower->call.last_name);
+	    follower->call.last_name, &as_of_us);
 
 	if (body == NULL)
-		answer(follower, 404, "", 0);
+		refuse(follower, 404);
 	else
-		answer(follower, 200, body->str, body->len);
+		answer(follower, 200, as_of_us, body->str, body->len);
 }
 
 /* Answers a watch if it is due; otherwise it goes on waiting. */
@@ -191,14 +202,15 @@
 	const feed_journal_t *journal = mirror->journals[follower->call.feed];
 	const GString *body = NULL;
 	GString *none;
+	int64_t as_of_us;
 
 	switch (feed_journal_find_changes(
-	    journal, follower->call.revision, &body)) {
+	    journal, follower->call.revision, &body, &as_of_us)) {
 	case JOURNAL_COMPACTED:
-		answer(follower, 410, "", 0);
+		refuse(follower, 410);
 		return;
 	case JOURNAL_CHANGED:
-		answer(follower, 200, body->str, body->len);
+		answer(follower, 200, as_of_us, body->str, body->len);
 		return;
 	case JOURNAL_CURRENT:
 		break;
@@ -208,7 +220,7 @@
 	none = g_string_new(NULL);
 	mirror->protocol->write_no_changes(none,
 	    MAX(feed_journal_get_revision(journal), follower->call.revision));
-	answer(follower, 200, none->str, none->len);
+	answer(follower, 200, as_of_us, none->str, none->len);
 	g_string_free(none, TRUE);
 }
 
@@ -220,7 +232,7 @@
 
 	follower->active_us = now_us;
 	if (!mirror->is_serving) {
-		answer(follower, 503, "", 0);
+		refuse(follower, 503);
 		return;
 	}
 	if (!follower->call.is_watch) {
@@ -306,7 +318,7 @@
 	mirror->is_serving = is_serving;
 	LIST_FOREACH(follower, &mirror->followers, in_mirror)
 	if (!is_serving && follower->is_waiting)
-		answer(follower, 503, "", 0);
+		refuse(follower, 503);
 }
 
 static int64_t
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -8,6 +8,12 @@
 #include "feed_journal.h"
 #include "tier_process.h"
 
+/**
+ * Header of each answer to a follower, in milliseconds. Changes: none of them
+ * happened longer ago. List or no changes: it was complete so long ago.
+ */
+#define MIRROR_AGE_HEADER "View-Age-Ms"
+
 typedef struct mirror mirror_t;
 
 mirror_t *mirror_create(loop_t *loop, const protocol_t *protocol,
--- a/src/store_client.c
+++ b/src/store_client.c
@@ -24,6 +24,8 @@
 #define BACKOFF_MAX_US	      800000  /* a recovered store is used within 1 s */
 #define LOST_FEED_WAIT_US     5000000 /* unless a probe succeeds earlier */
 #define RECENT_OUTAGE_US      3000000 /* an outage is recent for this long */
+#define OUTAGE_MIN_US	      1000000 /* no entry expires in a shorter one */
+#define WATCH_PROMPT_US	      100000  /* from a change to a watch's answer */
 #define PUBLISH_DELAY_US      2000    /* batches changes that arrive together */
 #define WATCH_PAGE_EVENTS     100     /* a full page: more may follow */
 #define RELIST_INTERVAL_US    5000000
@@ -63,8 +65,13 @@
 	bool is_in_call, is_listed;
 	bool is_refused; /* the reader answered that it cannot serve now */
 	bool is_overdue; /* its time is over; an answer may wait to be read */
-	bool is_lost;	 /* the last call to the store failed */
-	int64_t lost_us; /* time of the last failure */
+	bool is_source_new; /* it has not answered this feed yet */
+	bool is_lost;	    /* the last call to the store failed */
+	int64_t lost_us;    /* time of the last failure */
+	/* Times of the boot clock, which counts suspensions too. */
+	int64_t sent_boot_us, list_sent_boot_us;
+	int64_t complete_us; /* the view holds all changes up to then */
+	int64_t since_us;    /* of the changes in the answer being read */
 	int64_t revision, list_revision;
 	int64_t next_call_us, sent_us, timeout_us, backoff_us;
 	int64_t relist_due_us; /* not before */
@@ -91,6 +98,8 @@
 	int vm_count;
 	int64_t publish_due_us, probe_due_us, readers_due_us;
 	int64_t last_run_us, suspended_us;
+	int64_t run_boot_us[2]; /* boot time of the last two turns */
+	int64_t outage_us;	/* a call to the store itself failed; or 0 */
 };
 
 static void handle_received(void *context, const char *data, size_t length);
@@ -213,21 +222,32 @@
 	g_array_append_val(feed->listed_readers, *entry);
 }
 
-static bool
-was_store_lost(const feed_state_t *feed, int64_t now_us)
+/*
+ * The failure of a reader is not an outage of the store, nor is one call that
+ * failed between two that did not.
+ */
+static entry_removal_t
+describe_removal(const feed_state_t *feed)
 {
-	return feed->lost_us != 0 && now_us - feed->lost_us < RECENT_OUTAGE_US;
+	const store_client_t *client = feed->client;
+	int64_t now_us = clock_get_us();
+	int64_t age_us = clock_get_boot_us() - feed->since_us;
+
+	return (entry_removal_t){ .now_us = now_us,
+		.earliest_us = now_us - age_us,
+		.is_after_outage =
+		    client->outage_us != 0 && age_us > OUTAGE_MIN_US &&
+		    now_us - client->outage_us < RECENT_OUTAGE_US };
 }
 
 static void
 handle_removal(void *context, feed_t feed_kind, const char *name)
 {
 	feed_state_t *feed = context;
-	int64_t now_us = clock_get_us();
+	entry_removal_t removal = describe_removal(feed);
 
 	if (feed_kind == FEED_LEAVES)
-		store_view_remove_entry(feed->client->view, now_us, name,
-		    was_store_lost(feed, now_us));
+		store_view_remove_entry(feed->client->view, &removal, name);
 }
 
 /*
@@ -316,6 +336,7 @@
 		feed_state_t *feed = &client->feeds[i];
 
 		feed->is_lost = false;
+		feed->is_source_new = true;
 		feed->backoff_us = 0;
 		if (feed->feed != FEED_READERS || !feed->is_to_store)
 			drop_call(feed, now_us, 0);
@@ -343,12 +364,23 @@
 	loop_wake(client->loop);
 }
 
+/* The view of this feed holds all changes up to this time. */
+static void
+set_complete(feed_state_t *feed, int64_t boot_us)
+{
+	feed->complete_us = boot_us;
+	feed_journal_set_complete(
+	    mirror_get_journal(feed->client->mirror, feed->feed),
+	    feed->complete_us);
+}
+
 /*
  * The store answered a list that was sent after a watch: the watch is taken for
  * sound, since it is answered only at the next change.
  */
 static void
-confirm_watches(store_client_t *client, int64_t listed_us)
+confirm_watches(
+    store_client_t *client, int64_t listed_us, int64_t listed_boot_us)
 {
 	for (int i = 0; i < FEED_COUNT; i++) {
 		feed_state_t *feed = &client->feeds[i];
@@ -357,6 +389,8 @@
 		    feed->is_to_store && feed->sent_us < listed_us) {
 			feed->is_lost = false;
 			feed->backoff_us = 0;
+			set_complete(
+			    feed, MAX(feed->complete_us, listed_boot_us));
 		}
 	}
 }
@@ -369,7 +403,7 @@
 	bool was_lost = feed->is_lost;
 
 	feed->backoff_us = 0;
-	feed->is_lost = false;
+	feed->is_lost = feed->is_source_new = false;
 	client->is_unconfirmed = false;
 	if (!feed->is_to_store) {
 		view_source_handle_reader_answer(client->source, now_us);
@@ -380,7 +414,7 @@
 		    "\"feed\":\"%s\",\"revision\":%" G_GINT64_FORMAT,
 		    feed_names[feed->feed], feed->revision);
 	if (feed->feed == FEED_READERS)
-		confirm_watches(client, feed->sent_us);
+		confirm_watches(client, feed->sent_us, feed->sent_boot_us);
 	if (!client->feeds[FEED_CONFIGURATION].is_lost &&
 	    !client->feeds[FEED_LEAVES].is_lost)
 		view_source_set_store_lost(client->source, now_us, false);
@@ -421,6 +455,10 @@
 {
 	store_client_t *client = feed->client;
 	int64_t now_us = clock_get_us();
+	/* A waiting watch may be cut off by a store that is sound. */
+	bool is_cut_watch = feed->step == STEP_WATCHING && feed->is_in_call &&
+			    now_us - feed->sent_us > WATCH_PROMPT_US &&
+			    now_us < feed->timeout_us;
 
 	if (!feed->is_lost)
 		log_store_lost(feed, why);
@@ -438,6 +476,8 @@
 		return;
 	}
 	feed->is_lost = true;
+	if (!is_cut_watch)
+		client->outage_us = now_us;
 	metric_add(METRIC_TIER_STORE_FAILURES, 1);
 	if (feed->feed == FEED_READERS)
 		fail_task(client, now_us);
@@ -474,6 +514,7 @@
 	feed->is_in_call = true;
 	feed->is_overdue = false;
 	feed->sent_us = clock_get_us();
+	feed->sent_boot_us = clock_get_boot_us();
 	feed->timeout_us = feed->sent_us + timeout_us;
 	metric_add(
 	    is_to_store ? METRIC_TIER_STORE_CALLS : METRIC_TIER_READER_CALLS,
@@ -489,6 +530,7 @@
 	int64_t timeout_us = CALL_TIMEOUT_US;
 
 	if (feed->step != STEP_LISTING) {
+		feed->list_sent_boot_us = clock_get_boot_us();
 		feed->last_name[0] = '\0';
 		g_hash_table_remove_all(feed->listed_names);
 		g_array_set_size(feed->listed_readers, 0);
@@ -528,6 +570,9 @@
 	    is_to_store ? WATCH_SLACK_US : MAX(wait_us, FOLLOWER_SLACK_MIN_US);
 	GString *call = g_string_new(NULL);
 
+	/* Several readers may be lost: a dead one must show without a wait. */
+	if (!is_to_store && feed->is_source_new)
+		wait_us = 0;
 	client->protocol->write_watch(
 	    call, feed->feed, feed->revision, wait_us / 1000);
 	send_call(feed, call, is_to_store, wait_us + slack_us);
@@ -625,6 +670,42 @@
 
 /* ---- Answers ---- */
 
+/* Sets the time that a reader's answer is of; false: it does not say. */
+static bool
+read_age(const feed_state_t *feed, int64_t *as_of_us)
+{
+	const char *age = http_get_header(&feed->message, MIRROR_AGE_HEADER);
+	char *end;
+	int64_t age_ms;
+
+	if (feed->is_to_store || age == NULL)
+		return false;
+	age_ms = g_ascii_strtoll(age, &end, 10);
+	*as_of_us = clock_get_boot_us() - age_ms * 1000;
+	return end != age && age_ms >= 0 && *as_of_us >= 0;
+}
+
+/*
+ * The time before which no change in the answer happened. A watch that waited
+ * is answered at the first change, which this process reads within one turn of
+ * its loop; one that did not wait tells of changes since the answer before.
+ */
+static int64_t
+get_changes_since_us(const feed_state_t *feed)
+{
+	int64_t waited_until_us =
+	    feed->client->run_boot_us[0] - WATCH_PROMPT_US;
+	int64_t as_of_us;
+
+	if (feed->step != STEP_WATCHING)
+		return feed->complete_us;
+	if (read_age(feed, &as_of_us))
+		return MAX(feed->complete_us, as_of_us);
+	return feed->is_to_store && waited_until_us > feed->sent_boot_us
+		   ? MAX(feed->complete_us, waited_until_us)
+		   : feed->complete_us;
+}
+
 static int64_t
 get_call_delay_us(const feed_state_t *feed)
 {
@@ -665,22 +746,28 @@
 	store_client_t *client = feed->client;
 	feed_journal_t *journal =
 	    mirror_get_journal(client->mirror, feed->feed);
+	entry_removal_t removal = describe_removal(feed);
+	int64_t as_of_us = feed->list_sent_boot_us;
 
+	if (!feed->is_to_store && !read_age(feed, &as_of_us))
+		as_of_us = feed->complete_us;
 	feed_journal_finish_list(
-	    journal, now_us, feed->list_revision, feed->is_listed);
+	    journal, now_us, as_of_us, feed->list_revision, feed->is_listed);
 	if (feed->feed == FEED_READERS) {
 		finish_readers(feed, now_us);
 		return;
 	}
 	if (feed->feed == FEED_LEAVES)
-		store_view_keep_entries(client->view, now_us,
-		    feed->listed_names, was_store_lost(feed, now_us));
+		store_view_keep_entries(
+		    client->view, &removal, feed->listed_names);
 	/*
 	 * Changes during a list of several pages are watched from its first
 	 * page. A list that only shortens the journal changes no revision.
 	 */
-	if (!feed->is_listed)
+	if (!feed->is_listed) {
 		feed->revision = feed->list_revision;
+		set_complete(feed, as_of_us);
+	}
 	feed->is_listed = true;
 	update_serving(client);
 }
@@ -711,8 +798,8 @@
 	feed_journal_add_list_page(
 	    mirror_get_journal(feed->client->mirror, feed->feed),
 	    feed->last_name, feed->message.body->str, feed->message.body->len);
-	http_message_reset(&feed->message);
 	if (page->has_next_page) {
+		http_message_reset(&feed->message);
 		g_strlcpy(
 		    feed->last_name, page->last_name, sizeof(feed->last_name));
 		send_list(feed, feed->is_to_store, may_be_stale);
@@ -720,6 +807,7 @@
 	}
 	log_store_read(feed, true, page->revision, now_us);
 	finish_list(feed, now_us);
+	http_message_reset(&feed->message);
 	schedule_call(feed, now_us, get_call_delay_us(feed));
 }
 
@@ -730,9 +818,12 @@
 
 	log_store_read(feed, false, page->revision, now_us);
 	feed_journal_add_changes(mirror_get_journal(mirror, feed->feed), now_us,
-	    page->revision, page->count, feed->message.body->str,
-	    feed->message.body->len);
+	    feed->since_us, page->revision, page->count,
+	    feed->message.body->str, feed->message.body->len);
 	feed->revision = MAX(feed->revision, page->revision);
+	set_complete(feed, feed->is_to_store && page->count < WATCH_PAGE_EVENTS
+			       ? MAX(feed->since_us, feed->sent_boot_us)
+			       : feed->since_us);
 	http_message_reset(&feed->message);
 	mirror_notify(mirror, feed->feed);
 	schedule_call(feed, now_us,
@@ -751,6 +842,7 @@
 
 	sink.context = feed;
 	store_view_begin_page(feed->client->view);
+	feed->since_us = get_changes_since_us(feed);
 	is_valid = (is_list ? protocol->read_list : protocol->read_events)(
 	    feed->feed, feed->message.body->str, feed->message.body->len, &sink,
 	    &page, &error);
@@ -967,6 +1059,8 @@
 	int64_t due_us, task_due_us;
 
 	detect_pause(client, now_us);
+	client->run_boot_us[0] = client->run_boot_us[1];
+	client->run_boot_us[1] = clock_get_boot_us();
 	if (now_us >= client->probe_due_us) {
 		client->probe_due_us = INT64_MAX;
 		if (is_at_store(client))
--- a/src/store_view.c
+++ b/src/store_view.c
@@ -5,7 +5,10 @@
 #include "store_view.h"
 
 #define OUTAGE_VANISH_US      2500000 /* lost entries are restored by then */
+#define MAX_REMOVAL_LOG_LINES 4	      /* of one page */
 #define VANISH_DRAIN_FRACTION 0.4     /* of drain_us, without an outage */
+/* Of drain_us, for requests that wait for a connection to the leaf. */
+#define DRAIN_MARGIN_FRACTION (1.0 / 6)
 
 typedef struct leaf_record {
 	leaf_entry_t entry;
@@ -19,6 +22,7 @@
 	GHashTable *leaves; /* id -> leaf_record_t */
 	int64_t next_removal_us;
 	guint page_count;
+	int removal_lines; /* logged for the present page */
 	bool is_changed;
 };
 
@@ -65,6 +69,7 @@
 store_view_begin_page(store_view_t *view)
 {
 	view->page_count++;
+	view->removal_lines = 0;
 }
 
 void
@@ -85,40 +90,68 @@
 
 /*
  * A leaf whose entry was removed stays usable as a last resort for some time:
- * an outage that this VM did not notice may have removed the entry. One that
- * came and went within one page was gone before this VM knew of it.
+ * an outage that this VM did not notice may have removed the entry. The time
+ * ends within drain_us of the removal, which may have happened long before this
+ * VM learned of it. After an outage of the store, a living leaf restores its
+ * entry within OUTAGE_VANISH_US.
  */
+static int64_t
+get_grace_end_us(const store_view_t *view, const entry_removal_t *removal)
+{
+	double drain_us = (double)view->drain_us;
+
+	if (removal->is_after_outage)
+		return removal->now_us + OUTAGE_VANISH_US;
+	return MIN(
+	    removal->now_us + (int64_t)(drain_us * VANISH_DRAIN_FRACTION),
+	    removal->earliest_us +
+		(int64_t)(drain_us * (1.0 - DRAIN_MARGIN_FRACTION)));
+}
+
 static void
-remove_entry(store_view_t *view, int64_t now_us, leaf_record_t *record,
-    bool was_store_lost)
+log_removal(store_view_t *view, const entry_removal_t *removal,
+    const leaf_record_t *record)
 {
-	int64_t grace_us =
-	    was_store_lost
-		? OUTAGE_VANISH_US
-		: (int64_t)((double)view->drain_us * VANISH_DRAIN_FRACTION);
+	if (++view->removal_lines > MAX_REMOVAL_LOG_LINES)
+		return;
+	log_fields(LOG_TIER_ENTRY_REMOVED,
+	    "\"leaf\":\"%s\",\"service\":\"%s\",\"age_us\":%" G_GINT64_FORMAT
+	    ",\"grace_us\":%" G_GINT64_FORMAT ",\"after_outage\":%s",
+	    record->entry.id, record->entry.service,
+	    removal->now_us - removal->earliest_us,
+	    MAX(record->removal_us - removal->now_us, 0),
+	    removal->is_after_outage ? "true" : "false");
+}
 
+/* One that came and went within one page was gone before this VM knew of it. */
+static void
+remove_entry(
+    store_view_t *view, const entry_removal_t *removal, leaf_record_t *record)
+{
 	if (record->removal_us != 0)
 		return;
 	record->entry.is_entry_missing = true;
-	record->removal_us =
-	    record->added_page == view->page_count ? now_us : now_us + grace_us;
+	record->removal_us = record->added_page == view->page_count
+				 ? removal->now_us
+				 : get_grace_end_us(view, removal);
 	view->next_removal_us = MIN(view->next_removal_us, record->removal_us);
 	view->is_changed = true;
+	log_removal(view, removal, record);
 }
 
 void
 store_view_remove_entry(
-    store_view_t *view, int64_t now_us, const char *id, bool was_store_lost)
+    store_view_t *view, const entry_removal_t *removal, const char *id)
 {
 	leaf_record_t *record = g_hash_table_lookup(view->leaves, id);
 
 	if (record != NULL)
-		remove_entry(view, now_us, record, was_store_lost);
+		remove_entry(view, removal, record);
 }
 
 void
 store_view_keep_entries(
-    store_view_t *view, int64_t now_us, GHashTable *ids, bool was_store_lost)
+    store_view_t *view, const entry_removal_t *removal, GHashTable *ids)
 {
 	GHashTableIter iter;
 	gpointer id, record;
@@ -126,7 +159,7 @@
 	g_hash_table_iter_init(&iter, view->leaves);
 	while (g_hash_table_iter_next(&iter, &id, &record))
 		if (!g_hash_table_contains(ids, id))
-			remove_entry(view, now_us, record, was_store_lost);
+			remove_entry(view, removal, record);
 }
 
 void
--- a/src/store_view.h
+++ b/src/store_view.h
@@ -10,6 +10,18 @@
 
 typedef struct store_view store_view_t;
 
+/** What this VM knows of the removal of an entry. */
+typedef struct entry_removal {
+	int64_t now_us;
+	/**
+	 * The store removed it no earlier: the view that still held it was
+	 * complete then.
+	 */
+	int64_t earliest_us;
+	/** The store itself was unreachable: the entry may have expired. */
+	bool is_after_outage;
+} entry_removal_t;
+
 store_view_t *store_view_create(int64_t drain_us);
 void store_view_destroy(store_view_t *view);
 /** Takes the table. False: it is not newer than the one in force. */
@@ -17,12 +29,11 @@
 /** Call before the objects of each page. */
 void store_view_begin_page(store_view_t *view);
 void store_view_set_leaf(store_view_t *view, const leaf_entry_t *entry);
-/** The entry was removed; it was_lost recently: the store may be the cause. */
 void store_view_remove_entry(
-    store_view_t *view, int64_t now_us, const char *id, bool was_store_lost);
+    store_view_t *view, const entry_removal_t *removal, const char *id);
 /** Removes the entries whose ids are not in the set of a complete list. */
 void store_view_keep_entries(
-    store_view_t *view, int64_t now_us, GHashTable *ids, bool was_store_lost);
+    store_view_t *view, const entry_removal_t *removal, GHashTable *ids);
 /** The entry is invalid: the leaf is not used. */
 void store_view_drop_leaf(store_view_t *view, const char *id);
 /** Drops leaves whose grace time is over; returns when to call again. */
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -9,6 +9,8 @@
  *                                  error shed slow moved; leaf=all for all
  * GET  /store?mode=M               M: up down silent busy slow lost compact
  * GET  /leaf?id=ID&state=S         S: ready draining gone bad
+ * GET  /turn-away?vm=N&state=S     the store's port of this VM; S: on off
+ * GET  /late?ms=N                  arrivals at leafs that left N ms before
  * GET  /drain-while-listed?id=ID   it drains between two pages of a list
  * GET  /entry?id=ID&state=S&service=N&address=A&zone=Z   a leaf elsewhere
  * GET  /configuration?version=N&set=NAME&shards=N   the next configuration
@@ -26,6 +28,7 @@
 #define ENDLESS_INTERVAL_US 1000
 #define HEAD_BYTES	    16384
 #define BODY_BYTES	    1048576
+#define VM_PORTS_BEGIN	    61 /* after the first port */
 
 static void handle_received(void *context, const char *data, size_t length);
 static void handle_closed(void *context, bool is_clean);
@@ -111,6 +114,7 @@
 	if (leaf == NULL)
 		return;
 	leaf->is_draining = strcmp(state, "ready") != 0;
+	leaf->left_us = leaf->is_draining ? clock_get_us() : 0;
 	if (strcmp(state, "gone") == 0)
 		site_store_put(site, "servers", id, NULL);
 	else
@@ -165,6 +169,36 @@
 	g_free(shards);
 }
 
+/* The store serves the other VMs. */
+static void
+turn_away(site_t *site, const char *vm, const char *state)
+{
+	guint number = vm != NULL ? (guint)atoi(vm) : 0;
+
+	if (number < 1 || number > site->vm_ports->len || state == NULL)
+		return;
+	((site_port_t *)g_ptr_array_index(site->vm_ports, number - 1))
+	    ->is_turned_away = strcmp(state, "on") == 0;
+}
+
+static void
+answer_late(site_link_t *link, const char *bound_ms)
+{
+	const GArray *ages = link->port->site->arrival_ages;
+	int64_t bound_us =
+	    bound_ms != NULL ? strtoll(bound_ms, NULL, 10) * 1000 : 0;
+	char body[128];
+	int early = 0, late = 0;
+
+	for (guint i = 0; i < ages->len; i++)
+		if (g_array_index(ages, int64_t, i) > bound_us)
+			late++;
+		else
+			early++;
+	snprintf(body, sizeof(body), "in time %d late %d\n", early, late);
+	site_respond(link, 200, "", body, strlen(body));
+}
+
 static void
 handle_control(site_link_t *link)
 {
@@ -177,6 +211,8 @@
 	char *state = site_get_query(target, "state");
 	char *id = site_get_query(target, "id");
 	char *version = site_get_query(target, "version");
+	char *vm = site_get_query(target, "vm");
+	char *bound_ms = site_get_query(target, "ms");
 	char body[256];
 	int drained = 0;
 
@@ -195,6 +231,8 @@
 		set_configuration(site, atoi(version), target);
 	else if (g_str_has_prefix(target, "/store"))
 		site_store_set_mode(site, mode);
+	else if (g_str_has_prefix(target, "/turn-away"))
+		turn_away(site, vm, state);
 	for (guint i = 0; i < site->leafs->len; i++)
 		drained += ((site_leaf_t *)g_ptr_array_index(site->leafs, i))
 			       ->arrivals_drained;
@@ -202,7 +240,10 @@
 	    "runs %d twice %d unasked %d drained %d revision %d\n",
 	    site->run_count, site->twice, site->unasked, drained,
 	    (int)site->revision);
-	site_respond(link, 200, "", body, strlen(body));
+	if (g_str_has_prefix(target, "/late"))
+		answer_late(link, bound_ms);
+	else
+		site_respond(link, 200, "", body, strlen(body));
 	g_free(leaf);
 	g_free(kind);
 	g_free(share);
@@ -210,6 +251,8 @@
 	g_free(state);
 	g_free(id);
 	g_free(version);
+	g_free(vm);
+	g_free(bound_ms);
 }
 
 /* ---- Connections ---- */
@@ -293,7 +336,7 @@
 static bool
 run_link(site_link_t *link, int64_t now_us)
 {
-	if (link->watch_revision >= 0)
+	if (link->watch_revision >= 0 && !link->port->is_turned_away)
 		site_store_answer_watch(link);
 	if (link->is_running && link->due_us <= now_us)
 		site_leafs_finish(link);
@@ -319,7 +362,7 @@
 		if (run_link(link, now_us))
 			return now_us;
 		if (link->is_running || link->is_delayed ||
-		    link->watch_revision >= 0)
+		    (link->watch_revision >= 0 && !link->port->is_turned_away))
 			due_us = MIN(due_us, link->due_us);
 		if (link->endless != NULL) {
 			site_leafs_continue_endless(link);
@@ -331,7 +374,7 @@
 	return due_us;
 }
 
-static void
+static site_port_t *
 open_port(site_t *site, port_type_t type, int number, site_leaf_t *leaf)
 {
 	site_port_t *port = g_new0(site_port_t, 1);
@@ -348,6 +391,7 @@
 		exit(1);
 	}
 	loop_set_fd(site->loop, port->fd, EPOLLIN, handle_accept, port);
+	return port;
 }
 
 static void
@@ -390,6 +434,8 @@
 {
 	site->loop = loop_create();
 	site->leafs = g_ptr_array_new();
+	site->vm_ports = g_ptr_array_new();
+	site->arrival_ages = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	site->runs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	site->seed = 1;
@@ -402,12 +448,15 @@
 main(int argc, char **argv)
 {
 	struct arg_int *port = arg_int1(NULL, "port", "N",
-	    "control; the store is at N+1, the leafs from N+10 on");
+	    "control; the store is at N+1, the leafs from N+10 on, the store's "
+	    "ports of single VMs from N+61 on");
 	struct arg_int *shards = arg_int0(NULL, "shards", "N", "shards (6)");
 	struct arg_int *work =
 	    arg_int0(NULL, "work-ms", "N", "mean work of a request (5)");
 	struct arg_int *page =
 	    arg_int0(NULL, "page", "N", "objects on a page of a list (all)");
+	struct arg_int *vms = arg_int0(
+	    NULL, "vms", "N", "VMs with a port of their own at the store (0)");
 	struct arg_str *leaf = arg_str0(
 	    NULL, "leaf", "ID,SERVICE,PORT", "no store, and only this leaf");
 	struct arg_lit *store = arg_lit0(NULL, "store", "no leafs");
@@ -415,8 +464,8 @@
 	    arg_lit0(NULL, "tell", "print a line for each arrival and run");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { port, shards, work, page, leaf, store, tell, help,
-		end };
+	void *table[] = { port, shards, work, page, vms, leaf, store, tell,
+		help, end };
 	site_t site = { 0 };
 	int errors = arg_parse(argc, argv, table);
 
@@ -439,6 +488,10 @@
 		return 2;
 	if (leaf->count == 0)
 		open_port(&site, PORT_STORE, port->ival[0] + 1, NULL);
+	for (int i = 0; vms->count > 0 && i < vms->ival[0]; i++)
+		g_ptr_array_add(site.vm_ports,
+		    open_port(&site, PORT_STORE,
+			port->ival[0] + VM_PORTS_BEGIN + i, NULL));
 	if (leaf->count == 0 && store->count == 0) {
 		add_leafs(&site, port->ival[0] + 10);
 		site_store_put_configuration(&site, 1, FIRST_SET, site.shards);
--- a/stand-ins/site.h
+++ b/stand-ins/site.h
@@ -24,6 +24,7 @@
 	char fault[16];
 	double share; /* of the answers that the fault hits */
 	bool is_draining;
+	int64_t left_us; /* it began to drain, or its entry was removed */
 	int arrivals_drained;
 } site_leaf_t;
 
@@ -32,6 +33,7 @@
 	port_type_t type;
 	site_leaf_t *leaf; /* PORT_LEAF */
 	int fd;
+	bool is_turned_away; /* PORT_STORE: calls get no answer */
 } site_port_t;
 
 typedef struct site_link {
@@ -51,8 +53,10 @@
 	loop_t *loop;
 	LIST_HEAD(, site_link) links;
 	GPtrArray *leafs;
-	GHashTable *objects; /* "kind/name" -> json_t */
-	GQueue history;	     /* site_event_t */
+	GPtrArray *vm_ports;  /* site_port_t of the store, one for each VM */
+	GArray *arrival_ages; /* int64_t, us, at leafs that had left */
+	GHashTable *objects;  /* "kind/name" -> json_t */
+	GQueue history;	      /* site_event_t */
 	int64_t revision, oldest;
 	char mode[16];
 	int shards, work_ms;
--- a/stand-ins/site_leafs.c
+++ b/stand-ins/site_leafs.c
@@ -203,6 +203,11 @@
 	tell(link, "arrived", id);
 	if (leaf->is_draining)
 		leaf->arrivals_drained++;
+	if (leaf->left_us != 0) {
+		int64_t age_us = clock_get_us() - leaf->left_us;
+
+		g_array_append_val(site->arrival_ages, age_us);
+	}
 	if (is_hit(leaf, site, "shed")) {
 		site_respond(
 		    link, 503, "Plantainarch-Not-Executed: 1\r\n", "", 0);
--- a/stand-ins/site_store.c
+++ b/stand-ins/site_store.c
@@ -283,7 +283,7 @@
 {
 	site_t *site = link->port->site;
 
-	if (strcmp(site->mode, "silent") == 0)
+	if (strcmp(site->mode, "silent") == 0 || link->port->is_turned_away)
 		return;
 	if (strcmp(site->mode, "busy") == 0)
 		site_respond(link, 503, "", "", 0);
--- a/stand-ins/tier.sh
+++ b/stand-ins/tier.sh
@@ -1,4 +1,5 @@
 # Sourced by tests and the demo: a site and some VMs of the tier on loopback.
+# With tier_vm_ports=1 and --vms N each VM has its own port at the store.
 # tier_begin DIR PORT [SITE OPTIONS]; tier_start N; tier_stop N; tier_callers N
 PA_BUILD=${PA_BUILD:-build}
 tier_pids=()
@@ -37,7 +38,7 @@
 callers: 127.0.0.1:$(tier_caller_port "$1")
 ready: 127.0.0.1:$(($(tier_caller_port "$1") + 1))
 metrics: 127.0.0.1:$(($(tier_caller_port "$1") + 2))
-platform: 127.0.0.1:$((tier_port + 1))
+platform: 127.0.0.1:$((tier_port + ${tier_vm_ports:-0} * (60 + $1) + !${tier_vm_ports:-0}))
 peers: 127.0.0.1:$((tier_port + 150 + $1))
 retry_ratio: 0.2
 retry_slack: 58
--- a/tests/feed_journal.c
+++ b/tests/feed_journal.c
@@ -77,13 +77,13 @@
 	case RELIST:
 		feed_journal_add_list_page(journal, "", body, strlen(body));
 		feed_journal_add_list_page(journal, "m", "second", 6);
-		feed_journal_finish_list(
-		    journal, step->at_us, step->revision, step->type == RELIST);
+		feed_journal_finish_list(journal, step->at_us, step->at_us,
+		    step->revision, step->type == RELIST);
 		break;
 	case CHANGES:
 	case NO_CHANGES:
-		feed_journal_add_changes(journal, step->at_us, step->revision,
-		    step->type == CHANGES, body, strlen(body));
+		feed_journal_add_changes(journal, step->at_us, step->at_us,
+		    step->revision, step->type == CHANGES, body, strlen(body));
 		break;
 	}
 }
@@ -92,8 +92,9 @@
 ask(const feed_journal_t *journal, const question_t *question)
 {
 	const GString *body = NULL;
-	journal_result_t result =
-	    feed_journal_find_changes(journal, question->revision, &body);
+	int64_t as_of_us;
+	journal_result_t result = feed_journal_find_changes(
+	    journal, question->revision, &body, &as_of_us);
 	int64_t next = body != NULL ? strtoll(body->str, NULL, 10) : 0;
 
 	if (result == question->result && next == question->next)
@@ -127,19 +128,21 @@
 check_list_pages(void)
 {
 	feed_journal_t *journal = feed_journal_create();
+	int64_t as_of_us;
 	bool is_good;
 
 	printf("pages of a list\n");
 	feed_journal_add_list_page(journal, "", "one", 3);
-	is_good = feed_journal_find_list_page(journal, "") == NULL;
+	is_good = feed_journal_find_list_page(journal, "", &as_of_us) == NULL;
 	feed_journal_add_list_page(journal, "k", "two", 3);
-	feed_journal_finish_list(journal, 0, 10, false);
+	feed_journal_finish_list(journal, 0, 0, 10, false);
 	feed_journal_add_list_page(journal, "", "new", 3);
 	is_good &=
-	    strcmp(feed_journal_find_list_page(journal, "")->str, "one") == 0 &&
-	    strcmp(feed_journal_find_list_page(journal, "k")->str, "two") ==
-		0 &&
-	    feed_journal_find_list_page(journal, "x") == NULL;
+	    strcmp(feed_journal_find_list_page(journal, "", &as_of_us)->str,
+		"one") == 0 &&
+	    strcmp(feed_journal_find_list_page(journal, "k", &as_of_us)->str,
+		"two") == 0 &&
+	    feed_journal_find_list_page(journal, "x", &as_of_us) == NULL;
 	feed_journal_destroy(journal);
 	if (!is_good)
 		printf("  FAIL\n");
@@ -153,25 +156,27 @@
 	feed_journal_t *journal = feed_journal_create();
 	char *body = g_strnfill(FEED_JOURNAL_BYTES_MAX / 3, 'x');
 	const GString *found = NULL;
+	int64_t as_of_us;
 	bool is_good = true;
 
 	printf("more changes than it keeps\n");
 	feed_journal_add_list_page(journal, "", "list", 4);
-	feed_journal_finish_list(journal, 0, 10, false);
+	feed_journal_finish_list(journal, 0, 0, 10, false);
 	for (int i = 1; i <= 4; i++)
 		feed_journal_add_changes(
-		    journal, i, 10 + i, 1, body, strlen(body));
-	is_good &=
-	    feed_journal_find_changes(journal, 10, &found) ==
-		JOURNAL_COMPACTED &&
-	    feed_journal_find_changes(journal, 11, &found) == JOURNAL_CHANGED;
+		    journal, i, i, 10 + i, 1, body, strlen(body));
+	is_good &= feed_journal_find_changes(journal, 10, &found, &as_of_us) ==
+		       JOURNAL_COMPACTED &&
+		   feed_journal_find_changes(journal, 11, &found, &as_of_us) ==
+		       JOURNAL_CHANGED;
 	is_good &= !feed_journal_has_list(journal) &&
-		   feed_journal_find_list_page(journal, "") == NULL;
+		   feed_journal_find_list_page(journal, "", &as_of_us) == NULL;
 	feed_journal_add_list_page(journal, "", "again", 5);
-	feed_journal_finish_list(journal, 5, 14, true);
+	feed_journal_finish_list(journal, 5, 5, 14, true);
 	is_good &=
-	    feed_journal_find_list_page(journal, "") != NULL &&
-	    feed_journal_find_changes(journal, 12, &found) == JOURNAL_CHANGED;
+	    feed_journal_find_list_page(journal, "", &as_of_us) != NULL &&
+	    feed_journal_find_changes(journal, 12, &found, &as_of_us) ==
+		JOURNAL_CHANGED;
 	feed_journal_destroy(journal);
 	g_free(body);
 	if (!is_good)
@@ -179,10 +184,41 @@
 	return is_good;
 }
 
+/*
+ * A reader that learns late, or is asked late, must not make its followers
+ * believe that a removal is recent: they would use the leaf for too long.
+ */
+static bool
+check_ages(void)
+{
+	feed_journal_t *journal = feed_journal_create();
+	const GString *found = NULL;
+	int64_t list_as_of_us = 0, changes_as_of_us[2] = { 0 }, as_of_us = 0;
+	bool is_good;
+
+	printf("ages of what it answers\n");
+	feed_journal_add_list_page(journal, "", "list", 4);
+	feed_journal_finish_list(journal, 9, 7, 10, false);
+	feed_journal_set_complete(journal, 7);
+	feed_journal_add_changes(journal, 20, 12, 11, 1, "one", 3);
+	feed_journal_add_changes(journal, 30, 22, 12, 1, "two", 3);
+	feed_journal_set_complete(journal, 28);
+	feed_journal_find_list_page(journal, "", &list_as_of_us);
+	feed_journal_find_changes(journal, 10, &found, &changes_as_of_us[0]);
+	feed_journal_find_changes(journal, 11, &found, &changes_as_of_us[1]);
+	feed_journal_find_changes(journal, 12, &found, &as_of_us);
+	is_good = list_as_of_us == 7 && changes_as_of_us[0] == 12 &&
+		  changes_as_of_us[1] == 22 && as_of_us == 28;
+	feed_journal_destroy(journal);
+	if (!is_good)
+		printf("  FAIL\n");
+	return is_good;
+}
+
 int
 main(void)
 {
-	bool is_good = check_list_pages() & check_bound();
+	bool is_good = check_list_pages() & check_bound() & check_ages();
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
 		is_good &= run_case(&cases[i]);
