Read each entry by itself, and bound its numbers

In the other program one entry in the list of VMs ended each VM that read it, or silenced all of them.

Cause: a page was parsed as one JSON text, which is rejected whole. Numbers of the list of VMs were taken as they were: threads sized an allocation, and a port out of range made every message that carried it invalid for its receivers.

Evidence: LOG_TIER_STORE_LOST 'not JSON' for ever; 'failed to allocate bytes' with threads; with peer_port 99999 each VM saw one member, and peer_rejected_total rose.

Fix: a page that is not valid as a whole is divided into its elements, each parsed by itself and rejected by its name. Addresses, ports, threads and slots are checked before use; a member that cannot be a VM is neither kept nor passed on. An odd entry of a zone's reader can be replaced.

--- a/src/codec.c
+++ b/src/codec.c
@@ -118,6 +118,17 @@
 	name[length] = '\0';
 }
 
+void
+codec_skip(codec_reader_t *reader, uint32_t elements)
+{
+	if (reader->is_invalid || reader->remaining < elements) {
+		reader->is_invalid = true;
+		return;
+	}
+	reader->next += elements;
+	reader->remaining -= elements;
+}
+
 codec_reader_t
 codec_read_array(codec_reader_t *reader, uint32_t stride, uint32_t items_max)
 {
--- a/src/codec.h
+++ b/src/codec.h
@@ -31,6 +31,7 @@
 const char *codec_read_bytes(
     codec_reader_t *reader, size_t *length); /* points into the data */
 void codec_read_name(codec_reader_t *reader, char *name, size_t size);
+void codec_skip(codec_reader_t *reader, uint32_t elements);
 codec_reader_t codec_read_array(codec_reader_t *reader, uint32_t stride,
     uint32_t items_max); /* a reader of its elements */
 
--- a/src/control_members.c
+++ b/src/control_members.c
@@ -24,13 +24,25 @@
 static void log_member(control_t *control, const member_t *member);
 static int get_send_count(const control_t *control);
 
+bool
+member_is_valid(const member_t *member)
+{
+	size_t length = strlen(member->address);
+
+	return member->id[0] != '\0' && length > 0 &&
+	       strspn(member->address,
+		   G_CSET_A_2_Z G_CSET_a_2_z G_CSET_DIGITS ".-") == length &&
+	       member->peer_port >= 1 && member->peer_port <= PEER_PORT_MAX &&
+	       member->threads >= 1 && member->threads <= VM_THREADS_MAX;
+}
+
 member_entry_t *
 members_merge(control_t *control, const member_t *member, bool is_from_list)
 {
 	member_entry_t *entry =
 	    g_hash_table_lookup(control->members, member->id);
 
-	if (member->id[0] == '\0' || member->threads < 1)
+	if (!member_is_valid(member))
 		return NULL;
 	if (strcmp(member->id, control->self.id) == 0) {
 		refute(control, member);
--- a/src/document.c
+++ b/src/document.c
@@ -521,12 +521,14 @@
 		read_number(
 		    reader, key, value, 1, 65535, &settings->caller_port);
 	else if (strcmp(key, "peer_port") == 0)
-		read_number(reader, key, value, 1, 65400, &settings->peer_port);
+		read_number(
+		    reader, key, value, 1, PEER_PORT_MAX, &settings->peer_port);
 	else if (strcmp(key, "platform") == 0)
 		document_read_name(reader, key, value, settings->platform,
 		    sizeof(settings->platform));
 	else if (strcmp(key, "threads") == 0)
-		read_number(reader, key, value, 1, 64, &settings->threads);
+		read_number(
+		    reader, key, value, 1, VM_THREADS_MAX, &settings->threads);
 	else if (strcmp(key, "curve_public") == 0)
 		document_read_name(reader, key, value, settings->curve_public,
 		    sizeof(settings->curve_public));
--- a/src/events.h
+++ b/src/events.h
@@ -55,6 +55,8 @@
     "a document does not parse; the previous one stays in effect")
 LOG_EVENT(405, LOG_PLATFORM_FAILED, G_LOG_LEVEL_INFO,
     "a call to the platform failed; it is retried with backoff")
+LOG_EVENT(406, LOG_PLATFORM_BAD_ENTRY, G_LOG_LEVEL_WARNING,
+    "entries of a list of the platform are not valid and are ignored")
 LOG_EVENT(500, LOG_INVARIANT_SNAPSHOT, G_LOG_LEVEL_WARNING,
     "invariant: a reply of another index version was about to be merged")
 LOG_EVENT(501, LOG_INVARIANT_COVERAGE, G_LOG_LEVEL_WARNING,
--- a/src/fetch.c
+++ b/src/fetch.c
@@ -307,7 +307,8 @@
 	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent_request_bytes);
 	if (uploaded_bytes > 0 || sent_request_bytes > 0)
 		return false;
-	return result == CURLE_COULDNT_CONNECT ||
+	return result == CURLE_URL_MALFORMAT ||
+	       result == CURLE_COULDNT_CONNECT ||
 	       result == CURLE_OPERATION_TIMEDOUT ||
 	       result == CURLE_COULDNT_RESOLVE_HOST;
 }
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -7,13 +7,14 @@
 #include "codec.h"
 #include "control_private.h"
 
+#define MEMBER_FIELDS 8
 #define VERSIONS_MAX  256
 #define MEMBERS_MAX   4096
 #define LEAVING_MAX   4096
 #define DOCUMENTS_MAX 256
 
 static void write_member(msgpack_packer *packer, const member_t *member);
-static void read_member(codec_reader_t *reader, member_t *member);
+static bool read_member(codec_reader_t reader, member_t *member);
 static void read_keys(codec_reader_t *reader, GArray *keys, uint32_t items_max);
 static void read_documents(codec_reader_t *reader, GArray *documents);
 static void clear_document(void *context);
@@ -62,7 +63,7 @@
 		msgpack_pack_uint64(&packer, announced->name_hash);
 		msgpack_pack_uint64(&packer, announced->version);
 	}
-	msgpack_pack_array(&packer, message->members->len * 8);
+	msgpack_pack_array(&packer, message->members->len * MEMBER_FIELDS);
 	for (guint i = 0; i < message->members->len; i++)
 		write_member(
 		    &packer, &g_array_index(message->members, member_t, i));
@@ -111,12 +112,16 @@
 		g_array_append_val(message->versions, announced);
 	}
 	reader.is_invalid |= list.is_invalid;
-	list = codec_read_array(&reader, 8, MEMBERS_MAX);
+	list = codec_read_array(&reader, MEMBER_FIELDS, MEMBERS_MAX);
 	while (!list.is_invalid && list.remaining > 0) {
 		member_t member;
 
-		read_member(&list, &member);
-		g_array_append_val(message->members, member);
+		/* One that a peer took from elsewhere hides no other. */
+		if (read_member(list, &member))
+			g_array_append_val(message->members, member);
+		else
+			metric_add(METRIC_PEER_REJECTED, 1);
+		codec_skip(&list, MEMBER_FIELDS);
 	}
 	reader.is_invalid |= list.is_invalid;
 	read_keys(&reader, message->leaving, LEAVING_MAX);
@@ -142,19 +147,21 @@
 	msgpack_pack_uint8(packer, (uint8_t)member->state);
 }
 
-static void
-read_member(codec_reader_t *reader, member_t *member)
+/* Works on a copy of the reader, which therefore stays valid. */
+static bool
+read_member(codec_reader_t reader, member_t *member)
 {
 	memset(member, 0, sizeof(*member));
-	codec_read_name(reader, member->id, sizeof(member->id));
-	codec_read_name(reader, member->zone, sizeof(member->zone));
-	codec_read_name(reader, member->region, sizeof(member->region));
-	codec_read_name(reader, member->address, sizeof(member->address));
-	member->peer_port = (int)codec_read_unsigned(reader, 65535);
-	member->threads = (int)codec_read_unsigned(reader, 64);
-	member->incarnation = codec_read_unsigned(reader, UINT64_MAX);
+	codec_read_name(&reader, member->id, sizeof(member->id));
+	codec_read_name(&reader, member->zone, sizeof(member->zone));
+	codec_read_name(&reader, member->region, sizeof(member->region));
+	codec_read_name(&reader, member->address, sizeof(member->address));
+	member->peer_port = (int)codec_read_unsigned(&reader, PEER_PORT_MAX);
+	member->threads = (int)codec_read_unsigned(&reader, VM_THREADS_MAX);
+	member->incarnation = codec_read_unsigned(&reader, UINT64_MAX);
 	member->state =
-	    (member_state_t)codec_read_unsigned(reader, MEMBER_DEAD);
+	    (member_state_t)codec_read_unsigned(&reader, MEMBER_DEAD);
+	return !reader.is_invalid && member_is_valid(member);
 }
 
 static void
--- a/src/http.h
+++ b/src/http.h
@@ -76,6 +76,7 @@
 	void (*closed)(void *context, bool is_clean); /* clean: end of stream */
 } stream_callbacks_t;
 
+bool stream_is_address(const char *address); /* IPv4:port */
 stream_t *stream_connect(loop_t *loop, const char *address,
     const stream_callbacks_t *callbacks,
     void *context); /* NULL: bad address or connect error */
--- a/src/plantainarch.h
+++ b/src/plantainarch.h
@@ -270,6 +270,12 @@
 	member_state_t state;
 } member_t;
 
+#define VM_THREADS_MAX 64    /* traffic threads of one VM */
+#define PEER_PORT_MAX  65400 /* its threads use the ports after it */
+
+/** False: it cannot be a VM, and must not be passed on to others. */
+bool member_is_valid(const member_t *member);
+
 typedef struct peer {
 	uint64_t key;		       /* hash of "member/thread" */
 	char endpoint[ENDPOINT_BYTES]; /* tcp://address:port */
--- a/src/platform.c
+++ b/src/platform.c
@@ -3,11 +3,12 @@
  * Client of the platform's object API over HTTP: versioned reads, conditional
  * updates, watches and the list of VMs, limited to a call rate for this VM.
  */
-#include <jansson.h>
+#include <arpa/inet.h>
+#include <limits.h>
 #include <stdio.h>
 #include <string.h>
 
-#include "plantainarch.h"
+#include "json_slice.h"
 
 #define CONNECTIONS	 8
 #define REPLY_BYTES_MAX	 8388608
@@ -123,36 +124,96 @@
 	    callback, context);
 }
 
+/* Appends the decoded entry; false: it is not valid. */
+typedef bool (*read_entry_fn_t)(json_t *entry, const char *prefix, GArray *out);
+
+/*
+ * Reads the entries of an array. One that is not valid is skipped, and the
+ * number of these is logged. False: the text is not an array.
+ */
+static bool
+read_entries(json_slice_t array, const char *list, read_entry_fn_t read_entry,
+    const char *prefix, GArray *out)
+{
+	json_slice_t element;
+	size_t offset = 0;
+	int bad_count = 0;
+
+	if (array.length == 0 || array.text[0] != '[')
+		return false;
+	while (json_slice_next_element(array, &offset, &element)) {
+		json_t *entry = json_slice_load(element, NULL);
+
+		if (entry == NULL || !read_entry(entry, prefix, out))
+			bad_count++;
+		json_decref(entry);
+	}
+	if (bad_count > 0)
+		log_printf(LOG_PLATFORM_BAD_ENTRY,
+		    "platform: %d entries of the list of %s are not valid and "
+		    "are ignored",
+		    bad_count, list);
+	return true;
+}
+
+static bool
+read_vm(json_t *entry, const char *prefix, GArray *members)
+{
+	const char *id, *address, *zone, *region, *state;
+	json_int_t peer_port, threads;
+	struct in_addr parsed;
+	member_t member = { 0 };
+
+	if (json_unpack(entry, "{s:s, s:s, s:s, s:s, s:s, s:I, s:I}", "id", &id,
+		"address", &address, "zone", &zone, "region", &region, "state",
+		&state, "peer_port", &peer_port, "threads", &threads) != 0 ||
+	    strlen(id) >= sizeof(member.id) ||
+	    strlen(zone) >= sizeof(member.zone) ||
+	    strlen(region) >= sizeof(member.region) ||
+	    inet_pton(AF_INET, address, &parsed) != 1)
+		return false;
+	g_strlcpy(member.id, id, sizeof(member.id));
+	g_strlcpy(member.address, address, sizeof(member.address));
+	g_strlcpy(member.zone, zone, sizeof(member.zone));
+	g_strlcpy(member.region, region, sizeof(member.region));
+	member.peer_port = (int)CLAMP(peer_port, 0, INT_MAX);
+	member.threads = (int)CLAMP(threads, 0, INT_MAX);
+	member.state =
+	    strcmp(state, "leaving") == 0 ? MEMBER_LEAVING : MEMBER_ALIVE;
+	if (!member_is_valid(&member))
+		return false;
+	g_array_append_val(members, member);
+	return true;
+}
+
 bool
 platform_parse_vms(const char *body, size_t length, GArray *members)
 {
-	json_t *root = json_loadb(body, length, 0, NULL);
-	json_t *entry;
-	size_t i;
+	return read_entries(
+	    (json_slice_t){ body, length }, "VMs", read_vm, NULL, members);
+}
+
+/* An object outside the prefix is none of this reader's, and valid. */
+static bool
+read_change(json_t *entry, const char *prefix, GArray *documents)
+{
+	const char *name, *value;
+	json_int_t version;
+	document_t document = { 0 };
 
-	if (!json_is_array(root)) {
-		json_decref(root);
+	if (json_unpack(entry, "{s:s, s:I, s:s}", "name", &name, "version",
+		&version, "value", &value) != 0)
 		return false;
-	}
-	json_array_foreach(root, i, entry)
-	{
-		const char *id, *address, *zone, *region, *state;
-		member_t member = { 0 };
-
-		if (json_unpack(entry, "{s:s, s:s, s:s, s:s, s:s, s:i, s:i}",
-			"id", &id, "address", &address, "zone", &zone, "region",
-			&region, "state", &state, "peer_port",
-			&member.peer_port, "threads", &member.threads) != 0)
-			continue;
-		g_strlcpy(member.id, id, sizeof(member.id));
-		g_strlcpy(member.address, address, sizeof(member.address));
-		g_strlcpy(member.zone, zone, sizeof(member.zone));
-		g_strlcpy(member.region, region, sizeof(member.region));
-		member.state = strcmp(state, "leaving") == 0 ? MEMBER_LEAVING
-							     : MEMBER_ALIVE;
-		g_array_append_val(members, member);
-	}
-	json_decref(root);
+	if (!g_str_has_prefix(name, prefix))
+		return true;
+	name += strlen(prefix);
+	if (version < 0 || strlen(name) >= sizeof(document.name))
+		return false;
+	g_strlcpy(document.name, name, sizeof(document.name));
+	document.version = (uint64_t)version;
+	document.length = strlen(value);
+	document.body = g_strdup(value);
+	g_array_append_val(documents, document);
 	return true;
 }
 
@@ -161,36 +222,20 @@
 platform_parse_changes(const char *body, size_t length, const char *prefix,
     uint64_t *revision, GArray *documents)
 {
-	json_t *root = json_loadb(body, length, 0, NULL);
-	json_int_t number;
-	json_t *objects, *entry;
-	size_t i;
-
-	if (root == NULL || json_unpack(root, "{s:I, s:o}", "revision", &number,
-				"objects", &objects) != 0) {
-		json_decref(root);
-		return false;
-	}
-	*revision = (uint64_t)number;
-	json_array_foreach(objects, i, entry)
-	{
-		const char *name, *value;
-		json_int_t version;
-		document_t document = { 0 };
-
-		if (json_unpack(entry, "{s:s, s:I, s:s}", "name", &name,
-			"version", &version, "value", &value) != 0 ||
-		    !g_str_has_prefix(name, prefix))
-			continue;
-		g_strlcpy(document.name, name + strlen(prefix),
-		    sizeof(document.name));
-		document.version = (uint64_t)version;
-		document.length = strlen(value);
-		document.body = g_strdup(value);
-		g_array_append_val(documents, document);
-	}
-	json_decref(root);
-	return true;
+	json_slice_t root = { body, length }, text, objects;
+	json_t *number = NULL;
+	bool is_valid = json_slice_get_member(root, "revision", &text) &&
+			json_slice_get_member(root, "objects", &objects);
+
+	if (is_valid)
+		number = json_slice_load(text, NULL);
+	is_valid =
+	    json_is_integer(number) && json_integer_value(number) >= 0 &&
+	    read_entries(objects, "objects", read_change, prefix, documents);
+	if (is_valid)
+		*revision = (uint64_t)json_integer_value(number);
+	json_decref(number);
+	return is_valid;
 }
 
 static void
--- a/src/stream.c
+++ b/src/stream.c
@@ -99,6 +99,14 @@
 	       inet_pton(AF_INET, host, &out->sin_addr) == 1;
 }
 
+bool
+stream_is_address(const char *address)
+{
+	struct sockaddr_in parsed;
+
+	return parse_address(address, &parsed);
+}
+
 stream_t *
 stream_connect(loop_t *loop, const char *address,
     const stream_callbacks_t *callbacks, void *context)
--- a/src/view_source.c
+++ b/src/view_source.c
@@ -228,6 +228,13 @@
 		   : 2;
 }
 
+/* An entry of another writer may name no VM; it is there to be replaced. */
+static bool
+is_usable(const reader_entry_t *entry)
+{
+	return entry->address[0] != '\0';
+}
+
 /* The nearest reader that may be tried; equally near ones by hash. */
 static reader_state_t *
 choose_reader(const view_source_t *source, int64_t now_us)
@@ -243,6 +250,7 @@
 		    hash_text(source->options.id), hash_text(reader->entry.vm));
 
 		if (strcmp(reader->entry.vm, source->options.id) == 0 ||
+		    !is_usable(&reader->entry) ||
 		    now_us < reader->failed_until_us)
 			continue;
 		if (best != NULL &&
@@ -337,7 +345,9 @@
 			begin_reading(
 			    source, now_us, "the zone's entry names this VM");
 	} else if (source->mode == VIEW_READING)
-		search(source, now_us, "another VM reads for the zone");
+		search(source, now_us,
+		    is_usable(&zone->entry) ? "another VM reads for the zone"
+					    : "the zone's entry names no VM");
 }
 
 /* A reader of the own zone is preferred as soon as there is a sound one. */
@@ -347,7 +357,8 @@
 	const reader_state_t *zone = find_zone(source, source->options.zone);
 
 	if (source->mode != VIEW_FOLLOWING || zone == NULL ||
-	    zone->backoff_us > 0 || is_self(source, &zone->entry) ||
+	    !is_usable(&zone->entry) || zone->backoff_us > 0 ||
+	    is_self(source, &zone->entry) ||
 	    strcmp(source->current_zone, source->options.zone) == 0)
 		return;
 	follow(source, now_us, zone, "the zone has a reader again");
@@ -361,6 +372,8 @@
 	for (guint i = 0; i < source->readers->len; i++) {
 		const reader_entry_t *entry = &get_reader(source, i)->entry;
 
+		if (!is_usable(entry))
+			continue;
 		if (source->mode == VIEW_READING && is_self(source, entry))
 			count += source->follower_count + 1;
 		else if (entry->vm_count <= 0)
@@ -545,8 +558,8 @@
 	const reader_state_t *zone = find_zone(source, source->options.zone);
 
 	return source->mode == VIEW_READING ||
-	       (zone != NULL && zone->backoff_us == 0 &&
-		   !is_self(source, &zone->entry));
+	       (zone != NULL && is_usable(&zone->entry) &&
+		   zone->backoff_us == 0 && !is_self(source, &zone->entry));
 }
 
 /* A reader that answers may recover: it keeps its entry a little longer. */
--- a/src/view_source.h
+++ b/src/view_source.h
@@ -16,7 +16,7 @@
 typedef struct reader_entry {
 	char zone[NAME_BYTES]; /* the entry's name */
 	char vm[NAME_BYTES];
-	char address[ENDPOINT_BYTES]; /* for followers, IPv4:port */
+	char address[ENDPOINT_BYTES]; /* for followers, IPv4:port; "": none */
 	int64_t revision;	      /* of its last change in the store */
 	int vm_count;		      /* VMs that it serves, itself included */
 } reader_entry_t;
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -9,6 +9,7 @@
  *                                  error shed slow moved; leaf=all for all
  * GET  /store?mode=M               M: up down silent busy slow lost compact
  * GET  /leaf?id=ID&state=S         S: ready draining gone bad
+ * POST /raw?kind=K&id=ID            an object whose spec is the body, as it is
  * GET  /turn-away?vm=N&state=S     the store's port of this VM; S: on off
  * GET  /late?ms=N                  arrivals at leafs that left N ms before
  * GET  /drain-while-listed?id=ID   it drains between two pages of a list
@@ -231,6 +232,8 @@
 		set_configuration(site, atoi(version), target);
 	else if (g_str_has_prefix(target, "/store"))
 		site_store_set_mode(site, mode);
+	else if (g_str_has_prefix(target, "/raw") && kind != NULL && id != NULL)
+		site_store_put_raw(site, kind, id, link->message.body->str);
 	else if (g_str_has_prefix(target, "/turn-away"))
 		turn_away(site, vm, state);
 	for (guint i = 0; i < site->leafs->len; i++)
@@ -434,6 +437,7 @@
 {
 	site->loop = loop_create();
 	site->leafs = g_ptr_array_new();
+	site->raw_texts = g_ptr_array_new();
 	site->vm_ports = g_ptr_array_new();
 	site->arrival_ages = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	site->runs =
--- a/stand-ins/site.h
+++ b/stand-ins/site.h
@@ -53,6 +53,8 @@
 	loop_t *loop;
 	LIST_HEAD(, site_link) links;
 	GPtrArray *leafs;
+	GPtrArray
+	    *raw_texts; /* char *; stored by number, see site_store_put_raw */
 	GPtrArray *vm_ports;  /* site_port_t of the store, one for each VM */
 	GArray *arrival_ages; /* int64_t, us, at leafs that had left */
 	GHashTable *objects;  /* "kind/name" -> json_t */
@@ -88,6 +90,9 @@
 /** The shards are SET-0 to SET-(shards-1). */
 void site_store_put_configuration(
     site_t *site, int version, const char *set, int shards);
+/** The spec is handed out as it is, though it may not be valid JSON. */
+void site_store_put_raw(
+    site_t *site, const char *kind, const char *name, const char *spec);
 void site_store_put_leaf(
     site_t *site, const site_leaf_t *leaf, const char *state);
 void site_store_set_mode(site_t *site, const char *mode);
--- a/stand-ins/site_store.c
+++ b/stand-ins/site_store.c
@@ -39,13 +39,37 @@
 	g_strlcpy(site->mode, "up", sizeof(site->mode));
 }
 
+#define RAW_MARK "\"raw text " /* stands for a raw text, with its number */
+
+/* Puts the raw texts in the places of their marks. */
+static GString *
+expand_raw_texts(const site_t *site, const char *text)
+{
+	GString *out = g_string_new(NULL);
+	const char *mark;
+
+	while ((mark = strstr(text, RAW_MARK)) != NULL) {
+		char *end;
+		gulong number = strtoul(mark + strlen(RAW_MARK), &end, 10);
+
+		g_string_append_len(out, text, mark - text);
+		g_string_append(
+		    out, g_ptr_array_index(site->raw_texts, number));
+		text = end + 1;
+	}
+	g_string_append(out, text);
+	return out;
+}
+
 static void
 respond_json(site_link_t *link, int status, json_t *body)
 {
 	char *text = json_dumps(body, JSON_COMPACT);
+	GString *expanded = expand_raw_texts(link->port->site, text);
 
-	site_respond(link, status, "Content-Type: application/json\r\n", text,
-	    strlen(text));
+	site_respond(link, status, "Content-Type: application/json\r\n",
+	    expanded->str, expanded->len);
+	g_string_free(expanded, TRUE);
 	free(text);
 	json_decref(body);
 }
@@ -115,6 +139,19 @@
 	g_free(key);
 }
 
+void
+site_store_put_raw(
+    site_t *site, const char *kind, const char *name, const char *spec)
+{
+	char *mark = g_strdup_printf("raw text %u", site->raw_texts->len);
+	json_t *text = json_string(mark);
+
+	g_ptr_array_add(site->raw_texts, g_strdup(spec));
+	site_store_put(site, kind, name, text);
+	json_decref(text);
+	g_free(mark);
+}
+
 /* A leaf reports that it drains while a VM reads the list. */
 static void
 drain_while_listed(site_t *site)
