Take a reply that ends inside its head for a failure

What callers saw: when a peer stopped in the middle of its reply's head and closed, the other program (serve) and the command line saw status 200 with an empty body; a conditional update of the platform was taken for done.

Cause: libcurl counts a head that ends with the connection as a whole reply.

Fix: the blank line behind the head shows that it is whole; without it the reply has no status.

--- a/src/fetch.c
+++ b/src/fetch.c
@@ -5,6 +5,9 @@
  * libcurl resends a request if a reused connection closes before the first byte
  * of the reply, and has no option against it. A request that must not be sent
  * twice, an order, therefore goes on a new connection: fetch_send_once().
+ *
+ * libcurl takes a head that ends with the connection for a complete reply with
+ * an empty body. The blank line behind the head shows that it is whole.
  */
 #include <curl/curl.h>
 #include <string.h>
@@ -16,6 +19,8 @@
 #define IDLE_HANDLES_MAX   256
 #define CONNECT_TIMEOUT_MS 1000
 
+static const char CUT_HEAD[] = "the connection ended inside the reply's head";
+
 typedef struct transfer {
 	fetch_t *fetch;
 	CURL *easy;
@@ -23,6 +28,7 @@
 	char *request_body;
 	GString *reply_body;
 	bool is_draining;
+	bool has_whole_head;
 	uint64_t version;
 	bool is_reply_too_large;
 	uint64_t tag;
@@ -266,12 +272,14 @@
 	long status = 0;
 
 	curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (result == CURLE_OK && !transfer->is_reply_too_large)
-		reply.http_status = (int)status;
+	if (transfer->is_reply_too_large)
+		reply.error = "the reply exceeds the size limit";
+	else if (result != CURLE_OK)
+		reply.error = curl_easy_strerror(result);
+	else if (!transfer->has_whole_head)
+		reply.error = CUT_HEAD;
 	else
-		reply.error = transfer->is_reply_too_large
-				  ? "the reply exceeds the size limit"
-				  : curl_easy_strerror(result);
+		reply.http_status = (int)status;
 	reply.is_unsent =
 	    result != CURLE_OK && is_unsent(transfer->easy, result);
 	reply.body = transfer->reply_body->str;
@@ -327,12 +335,20 @@
 	return size * count;
 }
 
+/* An informational reply has a head of its own, before that of the reply. */
+static void
+track_head(bool *has_whole_head, const char *line, size_t length)
+{
+	*has_whole_head = length > 0 && (line[0] == '\r' || line[0] == '\n');
+}
+
 static size_t
 read_reply_header(char *data, size_t size, size_t count, void *context)
 {
 	transfer_t *transfer = context;
 	size_t length = size * count;
 
+	track_head(&transfer->has_whole_head, data, length);
 	if (length > 10 && strncasecmp(data, "x-draining", 10) == 0)
 		transfer->is_draining = true;
 	if (length > 18 && strncasecmp(data, "x-object-version: ", 18) == 0)
@@ -347,12 +363,20 @@
 	return size * count;
 }
 
+typedef struct blocking_head {
+	uint64_t version;
+	bool is_whole;
+} blocking_head_t;
+
 static size_t
-read_version_header(char *data, size_t size, size_t count, void *context)
+read_blocking_header(char *data, size_t size, size_t count, void *context)
 {
+	blocking_head_t *head = context;
+
+	track_head(&head->is_whole, data, size * count);
 	if (size * count > 18 &&
 	    strncasecmp(data, "x-object-version: ", 18) == 0)
-		*(uint64_t *)context = g_ascii_strtoull(data + 18, NULL, 10);
+		head->version = g_ascii_strtoull(data + 18, NULL, 10);
 	return size * count;
 }
 
@@ -364,7 +388,7 @@
 	CURL *easy = curl_easy_init();
 	struct curl_slist *headers =
 	    curl_slist_append(NULL, "Content-Type: application/json");
-	uint64_t ignored_version = 0;
+	blocking_head_t head = { 0 };
 	long status = 0;
 	CURLcode result;
 
@@ -376,18 +400,22 @@
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)(timeout_us / 1000));
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append_to_string);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, reply);
-	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, read_version_header);
-	curl_easy_setopt(easy, CURLOPT_HEADERDATA,
-	    version != NULL ? version : &ignored_version);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, read_blocking_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, &head);
 	if (body != NULL)
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
 	result = curl_easy_perform(easy);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-	*http_status = (int)status;
 	curl_slist_free_all(headers);
 	curl_easy_cleanup(easy);
-	if (result == CURLE_OK)
+	*http_status = head.is_whole ? (int)status : 0;
+	if (version != NULL)
+		*version = head.version;
+	if (result == CURLE_OK && head.is_whole)
 		return true;
+	if (result == CURLE_OK)
+		return error_set(error, ERROR_UNAVAILABLE, method, url,
+		    "%s; check the process at this address", CUT_HEAD);
 	return error_set(error,
 	    result == CURLE_OPERATION_TIMEDOUT ? ERROR_TIMEOUT
 					       : ERROR_UNAVAILABLE,
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -5,9 +5,10 @@
  * only the store, or only one leaf.
  *
  * GET  /stats                      what ran, and what broke a promise
- * GET  /fault?leaf=ID&kind=K&share=S   K: none dark reset cut garbage extra
- *                                  error shed slow moved; leaf=all for all
- * GET  /store?mode=M               M: up down silent busy slow lost compact
+ * GET  /fault?leaf=ID&kind=K&share=S   K: none dark reset cut cut-head garbage
+ *                                  extra error shed slow moved; leaf=all for
+ * all GET  /store?mode=M               M: up down silent busy slow lost compact
+ *                                  cut
  * GET  /leaf?id=ID&state=S         S: ready draining gone bad
  * POST /raw?kind=K&id=ID            an object whose spec is the body, as it is
  * GET  /turn-away?vm=N&state=S     the store's port of this VM; S: on off
@@ -53,6 +54,20 @@
 	    "HTTP/1.1 %d %s\r\n%sContent-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
 	    status, http_get_reason_phrase(status), headers, length);
 	g_string_append_len(out, body, (gssize)length);
+	if (link->port->type == PORT_STORE &&
+	    strcmp(link->port->site->mode, "cut") == 0) {
+		/* Inside the head, or anywhere. */
+		size_t most = site_draw(link->port->site) < 0.5
+				  ? out->len - length - 2
+				  : out->len - 1;
+
+		g_string_truncate(out,
+		    1 + (gsize)(site_draw(link->port->site) * (double)most));
+		stream_write(link->stream, out->str, out->len);
+		stream_shutdown_write(link->stream);
+		g_string_free(out, TRUE);
+		return;
+	}
 	stream_write(link->stream, out->str, out->len);
 	g_string_free(out, TRUE);
 	link->is_ended = true;
--- a/stand-ins/site_leafs.c
+++ b/stand-ins/site_leafs.c
@@ -135,6 +135,18 @@
 		site_destroy_link(link);
 		return;
 	}
+	if (is_hit(leaf, site, "cut-head")) {
+		snprintf(
+		    extra, sizeof(extra), "HTTP/1.1 200 OK\r\n%s\r\n", headers);
+		/* Not the last byte: with it the head would be whole. */
+		stream_write(link->stream, extra,
+		    1 + (size_t)(site_draw(site) *
+				 (double)(strlen(extra) - 2)));
+		stream_close_after_flush(link->stream);
+		link->stream = NULL;
+		site_destroy_link(link);
+		return;
+	}
 	if (is_hit(leaf, site, "error")) {
 		site_respond(link, 500, headers, "failed", 6);
 		return;
--- a/tests/http_framing.c
+++ b/tests/http_framing.c
@@ -143,11 +143,59 @@
 	return is_refused ? 0 : 1;
 }
 
+static const struct cut_case {
+	const char *head, *body;
+	bool ends_with_connection; /* the body, which has no length */
+} cut_cases[] = {
+	{ "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 4\r\n\r\n", "abcd",
+	    false },
+	{ "HTTP/1.1 200 OK\r\nX: y\r\n\r\n", "abcd", true },
+	{ "HTTP/1.1 200 OK\nX: y\n\n", "abcd", true },
+	{ "HTTP/1.0 200 OK\r\nX: y\r\n\r\n", "abcd", true },
+	{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	    "4\r\nabcd\r\n0\r\nT: u\r\n\r\n", false },
+	{ "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n", "", false },
+};
+
+/*
+ * A peer that stops inside the head or the body and closes has not sent a whole
+ * answer, whatever was read of it.
+ */
+static int
+check_cut(const struct cut_case *each)
+{
+	char *bytes = g_strconcat(each->head, each->body, NULL);
+	size_t head_length = strlen(each->head);
+	int errors = 0;
+
+	for (size_t cut = 0; cut < strlen(bytes); cut++) {
+		http_message_t message;
+		bool may_end = each->ends_with_connection && cut >= head_length;
+		size_t used;
+		http_state_t state;
+
+		http_message_begin(&message, false, 4096, 4096);
+		http_message_feed(&message, bytes, cut, &used);
+		state = http_message_finish(&message);
+		if ((state == HTTP_COMPLETE) != may_end) {
+			printf("cut at %zu of \"%.30s\": %s\n", cut, bytes,
+			    state_names[state]);
+			errors++;
+		}
+		http_message_end(&message);
+	}
+	g_free(bytes);
+	return errors;
+}
+
 int
 main(void)
 {
 	int errors = 0, count = 0;
 
+	for (size_t i = 0; i < G_N_ELEMENTS(cut_cases); i++)
+		errors += check_cut(&cut_cases[i]);
+
 	for (size_t piece = 1; piece < 6000; piece += 7) {
 		errors += check_large(piece);
 		count++;
