Refuse at once what a planned stop would cut, and answer pipelined requests

Cause: the stop was set as the deadline of each new request, which was admitted all the same; an answer during the stop closed its connection, also with the next request in the buffer.

Evidence: the log shows these orders 'late' at the same moment, 1 s before the end of the grace.

Fix: a request that the stop would probably cut is refused before anything is sent, an order unless its answer is nearly certain. A connection closes behind its last request, by half first. Requests that are not read whole by the end get a 503. Waiting connections are taken before the socket is closed.

--- a/src/http.h
+++ b/src/http.h
@@ -87,6 +87,7 @@
 void stream_write(stream_t *stream, const char *data, size_t length);
 int64_t stream_get_rtt_us(const stream_t *stream); /* 0: not known */
 bool stream_is_flushed(const stream_t *stream);	   /* no buffered data */
+bool stream_has_unread(const stream_t *stream);	   /* received, not read yet */
 /** Pauses or resumes reading; unread bytes stay in the kernel. */
 void stream_set_reading(stream_t *stream, bool is_reading);
 void stream_shutdown_write(stream_t *stream); /* sends FIN */
--- a/src/listener.c
+++ b/src/listener.c
@@ -45,6 +45,8 @@
 	GString *scratch;
 };
 
+static void reject_message(
+    caller_connection_t *connection, int status, const char *reason);
 static void handle_accept(void *context, int fd, uint32_t events);
 static void handle_received(void *context, const char *data, size_t length);
 static void handle_closed(void *context, bool is_clean);
@@ -89,6 +91,16 @@
 	g_free(connection);
 }
 
+static void
+close_socket(listener_t *listener)
+{
+	if (listener->fd < 0)
+		return;
+	loop_unset_fd(listener->loop, listener->fd);
+	close(listener->fd);
+	listener->fd = -1;
+}
+
 void
 listener_destroy(listener_t *listener)
 {
@@ -100,8 +112,7 @@
 		destroy_connection(connection);
 	}
 	loop_remove_timer(listener->loop, run_timer, listener);
-	loop_unset_fd(listener->loop, listener->fd);
-	close(listener->fd);
+	close_socket(listener);
 	g_string_free(listener->scratch, TRUE);
 	g_free(listener);
 }
@@ -131,6 +142,36 @@
 	return listener->in_flight_count;
 }
 
+static bool
+is_reading_request(const caller_connection_t *connection)
+{
+	return connection->message.is_begun && !connection->is_in_flight &&
+	       !connection->needs_reset && !connection->is_lingering;
+}
+
+bool
+listener_has_open_work(const listener_t *listener)
+{
+	const caller_connection_t *connection;
+
+	if (listener->in_flight_count > 0 || listener->reset_count > 0)
+		return true;
+	LIST_FOREACH(connection, &listener->connections, in_listener)
+	if (is_reading_request(connection))
+		return true;
+	return false;
+}
+
+void
+listener_refuse_unread(listener_t *listener)
+{
+	caller_connection_t *connection;
+
+	LIST_FOREACH(connection, &listener->connections, in_listener)
+	if (is_reading_request(connection))
+		reject_message(connection, 503, "this VM stops");
+}
+
 const http_message_t *
 listener_get_request(void *caller)
 {
@@ -154,39 +195,54 @@
 	return true;
 }
 
-static void
-handle_accept(void *context, int fd, uint32_t events)
+/* False: none is waiting, or there is no descriptor for it. */
+static bool
+accept_connection(listener_t *listener)
 {
-	listener_t *listener = context;
+	int accepted =
+	    accept4(listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	const caller_limits_t *limits;
+	caller_connection_t *connection;
 
-	for (int i = 0; i < ACCEPTS_PER_EVENT; i++) {
-		int accepted =
-		    accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-		const caller_limits_t *limits;
-		caller_connection_t *connection;
+	if (accepted < 0)
+		return false;
+	if (listener->connection_count >= CALLER_CONNECTIONS_MAX &&
+	    !close_longest_idle(listener)) {
+		metric_add(METRIC_TIER_CALLERS_TURNED_AWAY, 1);
+		close(accepted);
+		return false;
+	}
+	limits = tier_get_limits(listener->tier);
+	connection = g_new0(caller_connection_t, 1);
+	connection->listener = listener;
+	connection->since_us = clock_get_us();
+	connection->backlog = g_string_new(NULL);
+	http_message_begin(&connection->message, true, limits->max_header_bytes,
+	    limits->max_body_bytes);
+	connection->stream = stream_create_from_fd(
+	    listener->loop, accepted, &stream_callbacks, connection);
+	listener->connection_count++;
+	connection->rtt_us = stream_get_rtt_us(connection->stream);
+	LIST_INSERT_HEAD(&listener->connections, connection, in_listener);
+	return true;
+}
 
-		if (accepted < 0)
-			return;
-		if (listener->connection_count >= CALLER_CONNECTIONS_MAX &&
-		    !close_longest_idle(listener)) {
-			metric_add(METRIC_TIER_CALLERS_TURNED_AWAY, 1);
-			close(accepted);
+static void
+handle_accept(void *context, int fd, uint32_t events)
+{
+	for (int i = 0; i < ACCEPTS_PER_EVENT; i++)
+		if (!accept_connection(context))
 			return;
-		}
-		limits = tier_get_limits(listener->tier);
-		connection = g_new0(caller_connection_t, 1);
-		connection->listener = listener;
-		connection->since_us = clock_get_us();
-		connection->backlog = g_string_new(NULL);
-		http_message_begin(&connection->message, true,
-		    limits->max_header_bytes, limits->max_body_bytes);
-		connection->stream = stream_create_from_fd(
-		    listener->loop, accepted, &stream_callbacks, connection);
-		listener->connection_count++;
-		connection->rtt_us = stream_get_rtt_us(connection->stream);
-		LIST_INSERT_HEAD(
-		    &listener->connections, connection, in_listener);
-	}
+}
+
+void
+listener_stop_listening(listener_t *listener)
+{
+	if (listener->fd < 0)
+		return;
+	while (accept_connection(listener))
+		;
+	close_socket(listener);
 }
 
 /* ---- Answers ---- */
@@ -240,6 +296,14 @@
 	    out, message->body->str, (gssize)message->body->len);
 }
 
+/* Pipelined behind the present request; in part, perhaps. */
+static bool
+has_next_request(const caller_connection_t *connection)
+{
+	return connection->backlog->len > 0 ||
+	       stream_has_unread(connection->stream);
+}
+
 void
 listener_send_answer(void *caller, const tier_answer_t *answer)
 {
@@ -247,7 +311,8 @@
 	listener_t *listener = connection->listener;
 	GString *out = g_string_truncate(listener->scratch, 0);
 
-	if (!connection->message.is_persistent || listener->is_closing)
+	if (!connection->message.is_persistent ||
+	    (listener->is_closing && !has_next_request(connection)))
 		connection->is_closing = true;
 	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", answer->status,
 	    http_get_reason_phrase(answer->status));
@@ -395,11 +460,16 @@
 	    tier_get_limits(connection->listener->tier);
 	GString *backlog = connection->backlog;
 
+	/* The process must not end before the answer is written. */
+	if (connection->is_closing && connection->listener->is_closing &&
+	    !stream_is_flushed(connection->stream))
+		return;
 	connection->needs_reset = false;
 	connection->has_answered = true;
 	connection->has_sent_continue = false;
 	connection->listener->reset_count--;
-	if (connection->is_closing && connection->is_rejected &&
+	if (connection->is_closing &&
+	    (connection->is_rejected || connection->listener->is_closing) &&
 	    stream_is_flushed(connection->stream)) {
 		connection->is_lingering = true;
 		connection->since_us = now_us;
--- a/src/stream.c
+++ b/src/stream.c
@@ -265,6 +265,15 @@
 	return stream->write_buffer == NULL;
 }
 
+bool
+stream_has_unread(const stream_t *stream)
+{
+	char byte;
+
+	return !stream->is_closed &&
+	       recv(stream->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void
 stream_set_reading(stream_t *stream, bool is_reading)
 {
--- a/src/tier.c
+++ b/src/tier.c
@@ -22,6 +22,9 @@
 #define LATE_CHECK_US	       5000
 #define LATE_CHECK_RETRY_US    1000
 #define STARTUP_US	       10000000 /* leaves close dead connections by then */
+/* Of the time in which nearly all answers come; see is_cut_by_stop(). */
+#define STOP_FACTOR	 1.0
+#define STOP_FACTOR_ONCE 6.0 /* a request that must not run twice */
 
 static void
 destroy_route_state(gpointer data)
@@ -197,6 +200,7 @@
 		    arrived_us + MAX(caller_timeout_us - RETURN_MARGIN_US,
 				     caller_timeout_us / 2));
 	}
+	request->time_limit_us = request->deadline_us - arrived_us;
 	if (request->tier->stop_deadline_us > 0)
 		request->deadline_us =
 		    MIN(request->deadline_us, request->tier->stop_deadline_us);
@@ -370,6 +374,36 @@
 	return false;
 }
 
+/*
+ * Whether the planned stop of this VM may end the request before its answer.
+ * Another VM can serve it whole; an order that is cut has an unknown outcome.
+ */
+static bool
+is_cut_by_stop(const tier_request_t *request, int64_t now_us)
+{
+	const tier_t *tier = request->tier;
+	const route_stats_t *stats = &request->state->stats;
+	int64_t left_us = tier->stop_deadline_us - now_us;
+	double usual_us = stats->mean_work_us * stats->tail_factor;
+
+	if (tier->stop_deadline_us == 0 || left_us > request->time_limit_us)
+		return false;
+	if (request->route->is_idempotent)
+		return (double)left_us < STOP_FACTOR * usual_us;
+	return stats->sample_count == 0 ||
+	       (double)left_us < STOP_FACTOR_ONCE * usual_us;
+}
+
+static void
+refuse_before_stop(tier_request_t *request, int64_t now_us)
+{
+	metric_add(METRIC_TIER_REFUSED, 1);
+	tier_log_end(request, now_us, "refused: this VM stops");
+	tier_answer_status(request->tier, request->caller, 503,
+	    RETRY_AFTER_MIN_US, "this VM stops");
+	tier_end_request(request);
+}
+
 tier_request_t *
 tier_begin(
     tier_t *tier, int64_t now_us, const tier_request_info_t *info, void *caller)
@@ -390,6 +424,10 @@
 		return NULL;
 	}
 	request = create_request(tier, now_us, route, info, caller);
+	if (is_cut_by_stop(request, now_us)) {
+		refuse_before_stop(request, now_us);
+		return NULL;
+	}
 	if (!admit_request(request, now_us))
 		return NULL;
 	/* Parts that fail at once must not end the request in this loop. */
--- a/src/tier_private.h
+++ b/src/tier_private.h
@@ -72,6 +72,7 @@
 	int64_t answer_by_us;  /* in time: a partial answer is sent then */
 	int64_t late_limit_us; /* late: a partial answer is sent then */
 	int64_t deadline_us;   /* the request ends then in any case */
+	int64_t time_limit_us; /* from its arrival, without a planned stop */
 	gather_t *gather;
 	GPtrArray *stamps;
 };
--- a/src/tier_process.c
+++ b/src/tier_process.c
@@ -39,8 +39,9 @@
 	int is_ready; /* atomic; written by this thread, read by control */
 	int64_t stop_begin_us; /* atomic; written by control; 0: not stopping */
 	int64_t last_busy_us;  /* last time with requests in flight */
-	bool is_closing, is_idle_closed;
-	int is_done; /* atomic; read by control */
+	bool is_closing, is_idle_closed,
+	    has_stopped_listening; /* steps of a stop */
+	int is_done;		   /* atomic; read by control */
 } traffic_t;
 
 typedef struct process {
@@ -142,6 +143,7 @@
 	int64_t earliest_us =
 	    begin_us + (int64_t)((double)total_us * STOP_MIN_FRACTION);
 	int64_t latest_us = begin_us + total_us - STOP_MARGIN_US;
+	bool is_idle;
 
 	if (!traffic->is_closing) {
 		traffic->is_closing = true;
@@ -155,11 +157,20 @@
 		traffic->is_idle_closed = true;
 		listener_close_idle(traffic->listener);
 	}
-	if (listener_count_in_flight(traffic->listener) > 0)
+	if (listener_has_open_work(traffic->listener))
 		traffic->last_busy_us = now_us;
-	if (now_us >= latest_us ||
-	    (now_us >= earliest_us &&
-		now_us - traffic->last_busy_us >= FLUSH_LINGER_US)) {
+	is_idle = now_us >= earliest_us &&
+		  now_us - traffic->last_busy_us >= FLUSH_LINGER_US;
+	if (now_us >= begin_us + total_us - STOP_ANSWER_US)
+		listener_refuse_unread(traffic->listener);
+	else if (!is_idle)
+		return now_us + FLUSH_LINGER_US / 3;
+	if (!traffic->has_stopped_listening) {
+		/* What has connected by now may still send a request. */
+		traffic->has_stopped_listening = true;
+		traffic->last_busy_us = now_us;
+		listener_stop_listening(traffic->listener);
+	} else if (now_us >= latest_us || is_idle) {
 		ck_pr_store_int(&traffic->is_done, 1);
 		loop_stop(traffic->loop);
 	}
--- a/src/tier_process.h
+++ b/src/tier_process.h
@@ -142,6 +142,12 @@
 void listener_send_answer(void *caller, const tier_answer_t *answer);
 const http_message_t *listener_get_request(void *caller);
 int listener_count_in_flight(const listener_t *listener);
+/** Takes the connections that wait; later ones are refused by the kernel. */
+void listener_stop_listening(listener_t *listener);
+/** Requests that are being read, in flight, or whose answer is not written. */
+bool listener_has_open_work(const listener_t *listener);
+/** Refuses the requests that have not been read whole; they have not run. */
+void listener_refuse_unread(listener_t *listener);
 
 /* ---- Status server: a small HTTP server for readiness and metrics ---- */
 
