serve: reset no waiting connection at a planned stop, and keep orders honest

An order in work at the second signal was answered 503, 'rejected', though it may have run.

Cause: the process stopped accepting but kept its listening socket until the end; what connected meanwhile was reset with it. At the end all requests in work were answered with a refusal, whatever they were.

Fix: the connections that wait are handed to the daemon and the socket is closed; each thread stays until it has been without a request for 0.2 s. An order that cannot be waited for is answered 409, 'unknown', a search 504.

--- a/src/frontend.c
+++ b/src/frontend.c
@@ -14,6 +14,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "plantainarch.h"
@@ -29,6 +30,7 @@
 typedef struct request {
 	uint64_t id;
 	request_state_t state;
+	bool is_order;
 	struct MHD_Connection *connection;
 	GString *body;
 	bool is_too_large;
@@ -41,11 +43,12 @@
 struct frontend {
 	loop_t *loop;
 	struct MHD_Daemon *daemon;
-	int epoll_fd, listen_fd;
+	int epoll_fd;
 	frontend_callbacks_t callbacks;
 	GHashTable *requests; /* id -> request_t */
 	uint64_t next_id;
 	bool is_closing;
+	bool has_stopped_accepting;
 	bool has_resumed; /* answers are ready; the daemon must run */
 };
 
@@ -59,6 +62,7 @@
     const char *method);
 static void dispatch_event(
     frontend_t *frontend, request_t *request, bool is_order);
+static void set_cut_answer(request_t *request);
 static void set_error_answer(request_t *request, int http_status,
     const char *reason, const char *format, ...) G_GNUC_PRINTF(4, 5);
 static void set_caller_name(
@@ -79,7 +83,6 @@
 	frontend->loop = loop;
 	frontend->callbacks = *callbacks;
 	frontend->next_id = 1;
-	frontend->listen_fd = -1;
 	frontend->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
 	if (inet_pton(AF_INET, address, &listen_address.sin_addr) != 1) {
 		error_set(error, ERROR_INVALID, "listen for callers", peer,
@@ -115,6 +118,24 @@
 	return NULL;
 }
 
+/* The process ends before the answer; an order may have been sent. */
+static void
+set_cut_answer(request_t *request)
+{
+	static const char unknown[] =
+	    "{\"outcome\":\"unknown\",\"reason\":\"stopping\","
+	    "\"detail\":\"the process ends; ask again with the same key\"}";
+
+	if (!request->is_order) {
+		set_error_answer(request, 504, "stopping", "the process ends");
+		return;
+	}
+	request->answer = g_strdup(unknown);
+	request->answer_length = strlen(unknown);
+	request->http_status = 409;
+	request->state = REQUEST_ANSWERED;
+}
+
 void
 frontend_destroy(frontend_t *frontend)
 {
@@ -132,13 +153,11 @@
 
 		if (request->state != REQUEST_WAITING)
 			continue;
-		set_error_answer(request, 503, "stopping", "the process ends");
+		set_cut_answer(request);
 		MHD_resume_connection(request->connection);
 	}
 	MHD_run(frontend->daemon);
 	MHD_stop_daemon(frontend->daemon);
-	if (frontend->listen_fd >= 0)
-		close(frontend->listen_fd);
 	g_hash_table_destroy(frontend->requests);
 	g_free(frontend);
 }
@@ -163,12 +182,32 @@
 	MHD_resume_connection(request->connection);
 }
 
+/*
+ * Connections that wait in the socket's queue would be reset with it: they are
+ * taken first, and may send a request.
+ */
 void
 frontend_stop_accepting(frontend_t *frontend)
 {
+	struct sockaddr_in address;
+	socklen_t length = sizeof(address);
+	int listen_fd, accepted;
+
 	frontend->is_closing = true;
-	if (frontend->listen_fd < 0)
-		frontend->listen_fd = MHD_quiesce_daemon(frontend->daemon);
+	if (frontend->has_stopped_accepting)
+		return;
+	frontend->has_stopped_accepting = true;
+	listen_fd = MHD_quiesce_daemon(frontend->daemon);
+	if (listen_fd < 0)
+		return;
+	while ((accepted = accept4(listen_fd, (struct sockaddr *)&address,
+		    &length, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		MHD_add_connection(frontend->daemon, accepted,
+		    (struct sockaddr *)&address, length);
+		length = sizeof(address);
+	}
+	close(listen_fd);
+	MHD_run(frontend->daemon);
 }
 
 void
@@ -300,6 +339,7 @@
 wait_for_answer(frontend_t *frontend, request_t *request, event_t *event)
 {
 	event->caller = request->id;
+	request->is_order = event->type == EVENT_ORDER;
 	request->state = REQUEST_WAITING;
 	MHD_suspend_connection(request->connection);
 	frontend->callbacks.event(frontend->callbacks.context, event);
--- a/src/traffic.c
+++ b/src/traffic.c
@@ -11,6 +11,8 @@
 #include "traffic.h"
 
 #define STATUS_PERIOD_US 300000
+#define FINISH_LINGER_US 200000 /* without a request, before the stop */
+#define FINISH_CHECK_US	 20000
 
 struct traffic {
 	const vm_settings_t *settings;
@@ -25,6 +27,7 @@
 	char
 	    *status; /* VM status as JSON, as last sent by the control thread */
 	int64_t next_status_us;
+	int64_t busy_us; /* while finishing: last time with a request */
 	int64_t peer_bytes;
 };
 
@@ -182,6 +185,7 @@
 		break;
 	case THREAD_MESSAGE_STOP_ACCEPTING:
 		traffic->is_finishing = true;
+		traffic->busy_us = clock_get_us();
 		frontend_stop_accepting(traffic->frontend);
 		break;
 	case THREAD_MESSAGE_STOP_LOOP:
@@ -272,15 +276,18 @@
 		handle_event(traffic, &tick);
 	if (now_us >= traffic->next_status_us)
 		report_status(traffic, now_us);
+	if (frontend_count_requests(traffic->frontend) > 0 ||
+	    !core_is_idle(traffic->core))
+		traffic->busy_us = now_us;
 	if (traffic->is_finishing && !traffic->is_idle_reported &&
-	    frontend_count_requests(traffic->frontend) == 0 &&
-	    core_is_idle(traffic->core)) {
+	    now_us - traffic->busy_us >= FINISH_LINGER_US) {
 		traffic->is_idle_reported = true;
 		send_message(
 		    traffic, thread_message_create(THREAD_MESSAGE_IDLE));
 	}
 	return MIN(core_get_next_timer(traffic->core),
-	    traffic->is_finishing ? now_us + 20000 : traffic->next_status_us);
+	    traffic->is_finishing ? now_us + FINISH_CHECK_US
+				  : traffic->next_status_us);
 }
 
 static void
