Take a leaf's own word: leaving, and no request for some time

What callers saw: a leaf that said 'Server-Leaving: 1' while its entry stayed ready got requests for as long as the entry said so (35 to 620 arrivals later than drain_ms). When all leafs of a service asked for time, they were asked again and callers told to come back after 0.05 s. A list that could not succeed was sent to its other shards first and answered 502.

Cause: neither header was decoded.

Fix: the word is kept with the leaf, and beside it while the leaf is not listed, for its lifetime. A leaf that leaves is a last resort at once and not asked from 5/6 of drain_ms on; one that asks for time gets nothing until it is over.

--- a/src/events.h
+++ b/src/events.h
@@ -125,5 +125,11 @@
     "a leaf sent more than an answer may hold; its connection was closed")
 LOG_EVENT(631, LOG_TIER_ENTRY_REMOVED, G_LOG_LEVEL_MESSAGE,
     "a leaf's entry was removed; fields state its greatest age and the grace")
+LOG_EVENT(632, LOG_TIER_LEAF_LEAVING, G_LOG_LEVEL_MESSAGE,
+    "a leaf said in an answer that it leaves; nothing is sent after until_us")
+LOG_EVENT(633, LOG_TIER_LEAF_ASKS_TIME, G_LOG_LEVEL_MESSAGE,
+    "a leaf refused a request and wants none for the stated time")
+LOG_EVENT(634, LOG_TIER_BAD_HEADER, G_LOG_LEVEL_WARNING,
+    "a header of a leaf has a value that is not understood; it is ignored")
 LOG_EVENT(690, LOG_LINES_DROPPED, G_LOG_LEVEL_WARNING,
     "log lines of one event were dropped in a second; a field counts them")
--- a/src/http.c
+++ b/src/http.c
@@ -133,13 +133,14 @@
 }
 
 const char *
-http_get_header(const http_message_t *message, const char *name)
+http_get_next_header(
+    const http_message_t *message, const char *name, guint *position)
 {
 	char first = g_ascii_tolower(name[0]);
 
-	for (guint i = 0; i < message->headers->len; i++) {
-		const http_header_t *header =
-		    &g_array_index(message->headers, http_header_t, i);
+	while (*position < message->headers->len) {
+		const http_header_t *header = &g_array_index(
+		    message->headers, http_header_t, (*position)++);
 		const char *each = message->text->str + header->name;
 
 		if (g_ascii_tolower(each[0]) == first &&
@@ -149,6 +150,14 @@
 	return NULL;
 }
 
+const char *
+http_get_header(const http_message_t *message, const char *name)
+{
+	guint position = 0;
+
+	return http_get_next_header(message, name, &position);
+}
+
 const char *
 http_get_method(const http_message_t *message)
 {
--- a/src/http.h
+++ b/src/http.h
@@ -59,6 +59,9 @@
 http_state_t http_message_finish(http_message_t *message);
 const char *http_get_header(
     const http_message_t *message, const char *name); /* NULL if absent */
+/** Each occurrence in turn; *position begins with 0. NULL: no further one. */
+const char *http_get_next_header(
+    const http_message_t *message, const char *name, guint *position);
 const char *http_get_method(const http_message_t *message);
 const char *http_get_target(const http_message_t *message);
 /** Appends all headers but the hop-by-hop ones and those in `except`. */
--- a/src/leaf_picker.c
+++ b/src/leaf_picker.c
@@ -31,11 +31,27 @@
 	return false;
 }
 
+bool
+leaf_picker_is_departing(const tier_leaf_t *leaf)
+{
+	return leaf->entry.is_draining || leaf->notice.leaving_us != 0;
+}
+
+/* Time from which the leaf may be asked; INT64_MAX: never again. */
+static int64_t
+get_usable_from_us(const tier_leaf_t *leaf, int64_t now_us)
+{
+	if (leaf->is_removed || leaf->is_address_reused ||
+	    leaf->entry.is_draining ||
+	    (leaf->notice.leaving_us != 0 && now_us >= leaf->leave_by_us))
+		return INT64_MAX;
+	return MAX(leaf->stats.down_until_us, leaf->notice.retry_at_us);
+}
+
 static bool
 is_usable(const tier_leaf_t *leaf, int64_t now_us)
 {
-	return !leaf->is_removed && !leaf->is_address_reused &&
-	       !leaf->entry.is_draining && now_us >= leaf->stats.down_until_us;
+	return now_us >= get_usable_from_us(leaf, now_us);
 }
 
 /*
@@ -83,22 +99,23 @@
 	return cost;
 }
 
-leaf_picker_result_t
-leaf_picker_choose(const tier_service_t *service,
+/* Chooses among the leaves that leave, or among the others. */
+static leaf_picker_result_t
+choose_among(const tier_service_t *service, bool is_leaving,
     const route_stats_t *route_stats, int rank,
     const leaf_exclusions_t *exclusions, int64_t now_us, gsl_rng *random,
-    tier_leaf_t **leaf, int64_t *expected_us)
+    tier_leaf_t **leaf)
 {
 	leaf_picker_result_t result = LEAF_PICKER_NONE;
 	double best = 0;
 	tier_leaf_t *candidate;
 
-	*leaf = NULL;
 	LIST_FOREACH(candidate, &service->leaves, in_service)
 	{
 		double cost;
 
-		if (is_excluded(exclusions, candidate) ||
+		if ((candidate->notice.leaving_us != 0) != is_leaving ||
+		    is_excluded(exclusions, candidate) ||
 		    !is_usable(candidate, now_us))
 			continue;
 		if (!has_room(candidate, rank, now_us)) {
@@ -114,6 +131,24 @@
 		best = cost;
 		result = LEAF_PICKER_FOUND;
 	}
+	return result;
+}
+
+/* A leaf that leaves is a last resort, for as long as it serves. */
+leaf_picker_result_t
+leaf_picker_choose(const tier_service_t *service,
+    const route_stats_t *route_stats, int rank,
+    const leaf_exclusions_t *exclusions, int64_t now_us, gsl_rng *random,
+    tier_leaf_t **leaf, int64_t *expected_us)
+{
+	leaf_picker_result_t result;
+
+	*leaf = NULL;
+	result = choose_among(service, false, route_stats, rank, exclusions,
+	    now_us, random, leaf);
+	if (result == LEAF_PICKER_NONE)
+		result = choose_among(service, true, route_stats, rank,
+		    exclusions, now_us, random, leaf);
 	if (*leaf != NULL)
 		*expected_us = leaf_stats_get_expected_us(
 		    route_stats, &(*leaf)->stats, *(*leaf)->rtt_us);
@@ -125,14 +160,18 @@
 {
 	const tier_leaf_t *leaf;
 	int room = 0, ahead = 0, busy = 0;
+	bool is_any_usable = false;
 
 	LIST_FOREACH(leaf, &service->leaves, in_service)
 	{
 		if (!is_usable(leaf, now_us))
 			continue;
+		is_any_usable = true;
 		room += get_limit(leaf, rank);
 		busy += leaf->in_flight;
 	}
+	if (!is_any_usable)
+		return -1;
 	for (int i = 0; i <= rank; i++)
 		ahead += service->queued_by_rank[i];
 	if (room == 0 || busy + ahead < room)
@@ -144,17 +183,9 @@
 leaf_picker_get_retry_us(const tier_service_t *service, int64_t now_us)
 {
 	const tier_leaf_t *leaf;
-	int64_t min_wait_us = -1;
+	int64_t first_us = INT64_MAX;
 
 	LIST_FOREACH(leaf, &service->leaves, in_service)
-	{
-		int64_t wait_us = MAX(leaf->stats.down_until_us - now_us, 0);
-
-		if (leaf->is_removed || leaf->is_address_reused ||
-		    leaf->entry.is_draining)
-			continue;
-		if (min_wait_us < 0 || wait_us < min_wait_us)
-			min_wait_us = wait_us;
-	}
-	return min_wait_us;
+	first_us = MIN(first_us, get_usable_from_us(leaf, now_us));
+	return first_us == INT64_MAX ? -1 : MAX(first_us - now_us, 0);
 }
--- a/src/metrics_list.h
+++ b/src/metrics_list.h
@@ -64,6 +64,10 @@
     METRIC_TIER_EXTRA_ATTEMPTS, "tier_extra_total", "hedges and retries sent")
 METRIC(METRIC_TIER_BUDGET_EMPTY, "tier_budget_empty_total",
     "hedges and retries that the budget did not allow")
+METRIC(METRIC_TIER_LEAVES_LEAVING, "tier_leafs_leaving_total",
+    "leafs that said in an answer that they leave")
+METRIC(METRIC_TIER_TIME_ASKED, "tier_time_asked_total",
+    "refusals of leafs that asked for time")
 METRIC(METRIC_TIER_CONNECTIONS_OPENED, "tier_connections_opened_total",
     "connections opened to leafs")
 METRIC(METRIC_TIER_CONFIGURATION_VERSION, "tier_configuration_version",
--- a/src/part.c
+++ b/src/part.c
@@ -68,7 +68,7 @@
 		int64_t expected_us = leaf_stats_get_expected_us(
 		    stats, &leaf->stats, *leaf->rtt_us);
 
-		if (leaf == sent_to || leaf->entry.is_draining)
+		if (leaf == sent_to || leaf_picker_is_departing(leaf))
 			continue;
 		if (leaf->connection_count <= leaf->in_flight)
 			expected_us += *leaf->rtt_us;
@@ -132,6 +132,7 @@
 	attempt->remaining_us = request->deadline_us - now_us;
 	attempt->close_at_us = request->deadline_us + ABANDONED_TIMEOUT_US;
 	attempt->is_extra = is_extra;
+	attempt->may_repeat = request->route->is_idempotent;
 	attempt->info = &request->info;
 	attempt->caller = request->caller;
 	TAILQ_INSERT_TAIL(&tier->attempts, attempt, in_flight);
@@ -461,6 +462,83 @@
 	    tier->callbacks.context, LOG_TIER_ATTEMPT_FAILED, text);
 }
 
+/* A leaf that was removed meanwhile may be listed again, now or later. */
+static void
+keep_notice(tier_t *tier, const tier_leaf_t *leaf)
+{
+	tier_leaf_t *listed;
+
+	if (!leaf->is_removed)
+		return;
+	listed = g_hash_table_lookup(tier->leaves, leaf->entry.id);
+	if (listed == NULL ||
+	    listed->entry.started_ms != leaf->entry.started_ms) {
+		leaf_notices_put(tier->notices, leaf->entry.id,
+		    leaf->entry.started_ms, &leaf->notice);
+		return;
+	}
+	listed->notice.retry_at_us =
+	    MAX(listed->notice.retry_at_us, leaf->notice.retry_at_us);
+	if (listed->notice.leaving_us == 0)
+		listed->notice.leaving_us = leaf->notice.leaving_us;
+	tier_update_leave_time(tier, listed);
+}
+
+static void
+log_notice(tier_t *tier, const tier_attempt_t *attempt, log_event_t event,
+    const char *field, int64_t value)
+{
+	const tier_leaf_t *leaf = attempt->leaf;
+	char text[320];
+
+	snprintf(text, sizeof(text),
+	    "\"id\":\"%s\",\"leaf\":\"%s\",\"service\":\"%s\","
+	    "\"%s\":%" G_GINT64_FORMAT,
+	    attempt->part != NULL ? attempt->part->request->log_id : "",
+	    leaf->entry.id, leaf->entry.service, field, value);
+	tier->callbacks.log(tier->callbacks.context, event, text);
+}
+
+/*
+ * Remembers what the leaf says of itself. Its word holds from now on, whatever
+ * the answer is used for, and later answers do not take it back.
+ */
+static void
+record_notice(tier_t *tier, const tier_attempt_t *attempt, int64_t now_us,
+    const leaf_answer_t *answer)
+{
+	tier_leaf_t *leaf = attempt->leaf;
+	leaf_notice_t *notice = &leaf->notice;
+
+	if (answer->is_leaving && notice->leaving_us == 0) {
+		notice->leaving_us = now_us;
+		tier_update_leave_time(tier, leaf);
+		metric_add(METRIC_TIER_LEAVES_LEAVING, 1);
+		log_notice(tier, attempt, LOG_TIER_LEAF_LEAVING, "until_us",
+		    leaf->leave_by_us - now_us);
+		keep_notice(tier, leaf);
+	}
+	if (answer->retry_after_us > 0) {
+		metric_add(METRIC_TIER_TIME_ASKED, 1);
+		if (now_us >= notice->retry_at_us)
+			log_notice(tier, attempt, LOG_TIER_LEAF_ASKS_TIME,
+			    "time_us", answer->retry_after_us);
+		notice->retry_at_us =
+		    MAX(notice->retry_at_us, now_us + answer->retry_after_us);
+		keep_notice(tier, leaf);
+	}
+	if (answer->bad_header != NULL && !notice->has_bad_header) {
+		char text[256];
+
+		notice->has_bad_header = true;
+		snprintf(text, sizeof(text),
+		    "\"leaf\":\"%s\",\"service\":\"%s\",\"header\":\"%s\"",
+		    leaf->entry.id, leaf->entry.service, answer->bad_header);
+		tier->callbacks.log(
+		    tier->callbacks.context, LOG_TIER_BAD_HEADER, text);
+	}
+}
+
 /*
  * Sets request->may_have_run: true if a part is done, has an attempt that ended
  * and may have run, or has an attempt in flight.
@@ -597,6 +675,7 @@
 
 	answer.outcome = get_outcome(attempt, now_us, reported->outcome);
 	detach_attempt(tier, attempt);
+	record_notice(tier, attempt, now_us, &answer);
 	record_outcome(tier, attempt, now_us, &answer);
 	if (part != NULL)
 		part->in_flight_count--;
--- a/src/tier.c
+++ b/src/tier.c
@@ -49,6 +49,7 @@
 	tier->leaves = g_hash_table_new(g_str_hash, g_str_equal);
 	tier->routes = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, destroy_route_state);
+	tier->notices = leaf_notices_create();
 	tier->rtts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	tier->limits = (caller_limits_t){ .max_header_bytes = 16384,
@@ -89,6 +90,7 @@
 	g_hash_table_unref(tier->services);
 	g_hash_table_unref(tier->routes);
 	g_hash_table_unref(tier->rtts);
+	leaf_notices_destroy(tier->notices);
 	route_table_release(tier->table);
 	gsl_rng_free(tier->random);
 	g_free(tier);
@@ -263,11 +265,12 @@
 
 /** Estimated delays of a request if it is admitted now. */
 typedef struct admission_outlook {
-	int64_t left_us;     /* time until the request is late */
-	int64_t max_wait_us; /* longest queueing time of a part in this VM */
-	int late_count;	     /* parts whose expected latency is too long */
-	double queue_us;     /* mean queueing time, here and at the leaf */
-	double idle_us;	     /* mean latency without queueing */
+	int64_t left_us;      /* time until the request is late */
+	int64_t max_wait_us;  /* longest queueing time of a part in this VM */
+	int late_count;	      /* parts whose expected latency is too long */
+	int unservable_count; /* parts of which no leaf may be asked now */
+	double queue_us;      /* mean queueing time, here and at the leaf */
+	double idle_us;	      /* mean latency without queueing */
 } admission_outlook_t;
 
 static void
@@ -276,12 +279,14 @@
 	char text[320];
 
 	snprintf(text, sizeof(text),
-	    "\"id\":\"%s\",\"route\":\"%s\",\"parts\":%d,\"late_parts\":%d,"
+	    "\"id\":\"%s\",\"route\":\"%s\",\"parts\":%d,"
+	    "\"parts_without_leaf\":%d,\"late_parts\":%d,"
 	    "\"wait_us\":%" G_GINT64_FORMAT ",\"queue_us\":%.0f,"
 	    "\"idle_us\":%.0f,\"left_us\":%" G_GINT64_FORMAT,
 	    request->log_id, request->route->name, request->part_count,
-	    outlook->late_count, outlook->max_wait_us, outlook->queue_us,
-	    outlook->idle_us, outlook->left_us);
+	    outlook->unservable_count, outlook->late_count,
+	    outlook->max_wait_us, outlook->queue_us, outlook->idle_us,
+	    outlook->left_us);
 	request->tier->callbacks.log(
 	    request->tier->callbacks.context, LOG_TIER_REFUSED, text);
 }
@@ -297,7 +302,13 @@
 		const tier_service_t *service = request->parts[i].service;
 		int64_t wait_us =
 		    leaf_picker_get_wait_us(service, request->rank, now_us);
-		double queue_us =
+		double queue_us;
+
+		if (wait_us < 0) {
+			outlook.unservable_count++;
+			wait_us = 0;
+		}
+		queue_us =
 		    (double)wait_us +
 		    MAX(service->mean_latency_us - service->idle_latency_us, 0);
 
@@ -348,29 +359,42 @@
 	       (double)outlook->left_us;
 }
 
+static void
+refuse(tier_request_t *request, int64_t now_us, int64_t retry_us,
+    const char *reason)
+{
+	metric_add(METRIC_TIER_REFUSED, 1);
+	tier_log_end(request, now_us, "refused");
+	tier_answer_status(request->tier, request->caller, 503,
+	    MAX(retry_us, RETRY_AFTER_MIN_US), reason);
+	tier_end_request(request);
+}
+
 /*
- * Refuses a request that could only be answered late: too many parts would be
- * late on average, or the slowest needed part would. Nothing has been sent.
+ * Refuses a request that cannot be answered, since too many parts have no leaf
+ * that may be asked, or only late: too many parts would be late on average, or
+ * the slowest needed part would. Nothing has been sent.
  */
 static bool
 admit_request(tier_request_t *request, int64_t now_us)
 {
-	const route_t *route = request->route;
 	admission_outlook_t outlook = get_outlook(request, now_us);
-	int spare =
-	    (int)((1.0 - route->min_coverage) * request->part_count + 1e-9);
-	int64_t retry_us;
+	int spare = request->part_count - tier_get_needed_parts(request);
 
+	if (outlook.unservable_count > spare) {
+		log_refusal(request, &outlook);
+		refuse(request, now_us,
+		    tier_get_retry_after_us(request, now_us),
+		    "no leaf can run this now");
+		return false;
+	}
 	if ((outlook.late_count <= spare || outlook.max_wait_us == 0) &&
 	    !is_slowest_part_late(request, &outlook, spare))
 		return true;
-	retry_us = MAX(outlook.max_wait_us, (int64_t)outlook.queue_us);
-	metric_add(METRIC_TIER_REFUSED, 1);
 	log_refusal(request, &outlook);
-	tier_log_end(request, now_us, "refused");
-	tier_answer_status(request->tier, request->caller, 503,
-	    MAX(retry_us, RETRY_AFTER_MIN_US), "the queues are too long");
-	tier_end_request(request);
+	refuse(request, now_us,
+	    MAX(outlook.max_wait_us, (int64_t)outlook.queue_us),
+	    "the queues are too long");
 	return false;
 }
 
@@ -394,16 +418,6 @@
 	       (double)left_us < STOP_FACTOR_ONCE * usual_us;
 }
 
-static void
-refuse_before_stop(tier_request_t *request, int64_t now_us)
-{
-	metric_add(METRIC_TIER_REFUSED, 1);
-	tier_log_end(request, now_us, "refused: this VM stops");
-	tier_answer_status(request->tier, request->caller, 503,
-	    RETRY_AFTER_MIN_US, "this VM stops");
-	tier_end_request(request);
-}
-
 tier_request_t *
 tier_begin(
     tier_t *tier, int64_t now_us, const tier_request_info_t *info, void *caller)
@@ -425,7 +439,7 @@
 	}
 	request = create_request(tier, now_us, route, info, caller);
 	if (is_cut_by_stop(request, now_us)) {
-		refuse_before_stop(request, now_us);
+		refuse(request, now_us, RETRY_AFTER_MIN_US, "this VM stops");
 		return NULL;
 	}
 	if (!admit_request(request, now_us))
--- a/src/tier.h
+++ b/src/tier.h
@@ -17,6 +17,7 @@
 
 #include <sys/queue.h>
 
+#include "leaf_notice.h"
 #include "plantainarch.h"
 
 #define RECORD_BYTES 16 /* size of a gathered record; compared bytewise */
@@ -191,7 +192,8 @@
 	double retry_ratio;	 /* hedges and retries per original request */
 	double retry_slack;	 /* added per window, over the whole fleet */
 	int64_t retry_window_us; /* window of both */
-	int initial_vm_count;	 /* used until the directory has a count */
+	int64_t drain_us;     /* a leaf that leaves gets nothing after this */
+	int initial_vm_count; /* used until the directory has a count */
 	uint64_t seed;
 } tier_options_t;
 
@@ -230,6 +232,10 @@
 	const char *body;
 	size_t body_length;
 	void *message; /* returned in ANSWER_LEAF */
+	/** What the leaf says of itself. */
+	bool is_leaving;
+	int64_t retry_after_us; /* it wants no request so long; 0: it may */
+	const char *bad_header; /* a header that was ignored, or NULL */
 } leaf_answer_t;
 
 /** Callbacks into the I/O layer. They must not call back into the tier. */
@@ -256,6 +262,8 @@
 	leaf_entry_t entry;
 	tier_service_t *service;
 	leaf_stats_t stats;
+	leaf_notice_t notice;
+	int64_t leave_by_us;  /* leaving: nothing is sent after; 0: it stays */
 	int64_t *rtt_us;      /* round trip to its zone, shared by leaves */
 	int distance;	      /* 0 same zone, 1 same region, 2 other region */
 	int connection_limit; /* of this VM */
@@ -289,6 +297,7 @@
 	int64_t sent_us, close_at_us;	 /* closed then if unanswered */
 	int64_t remaining_us;		 /* deadline sent to the leaf */
 	bool is_extra;			 /* hedge or retry */
+	bool may_repeat;		 /* the request is idempotent */
 	const tier_request_info_t *info; /* valid inside callbacks.send only */
 	void *caller;			 /* valid inside callbacks.send only */
 	void *connection;		 /* owned by the I/O layer */
@@ -333,10 +342,13 @@
     const route_stats_t *route, int rank, const leaf_exclusions_t *exclusions,
     int64_t now_us, gsl_rng *random, tier_leaf_t **leaf, int64_t *expected_us);
 
-/** Expected wait of a part of this rank for a free connection. */
+/** Expected wait of a part of this rank for a free connection; -1: no leaf is
+ * usable. */
 int64_t leaf_picker_get_wait_us(
     const tier_service_t *service, int rank, int64_t now_us);
 /** Time until a leaf may be tried; 0: now; -1: no leaf is known. */
 int64_t leaf_picker_get_retry_us(const tier_service_t *service, int64_t now_us);
+/** Whether the leaf drains or said that it leaves. */
+bool leaf_picker_is_departing(const tier_leaf_t *leaf);
 
 #endif
--- a/src/tier_answers.c
+++ b/src/tier_answers.c
@@ -2,7 +2,9 @@
  * @file tier_answers.c
  * Ends requests: sends the answer when it is final, and logs it.
  */
+#include <math.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "tier_private.h"
@@ -10,6 +12,8 @@
 #define MAX_MISSING_LOG_LINES  3      /* of one request */
 #define SUCCESSES_PER_LOG_LINE 100    /* sampling */
 #define RETRY_AFTER_US	       300000 /* used if no leaf is known */
+#define RETRY_SPREAD	       0.5    /* of Retry-After, at random on top */
+#define RETRY_SPREAD_MAX_US    500000
 
 /* Logs the end of a request; normal successes at a lower level or sampled. */
 void
@@ -109,30 +113,59 @@
 	}
 }
 
+int
+tier_get_needed_parts(const tier_request_t *request)
+{
+	double needed = request->route->min_coverage * request->part_count;
+
+	return CLAMP((int)ceil(needed - 1e-9), 1, request->part_count);
+}
+
+/* Time until a leaf may take the part; 0 if it was sent or can be. */
+static int64_t
+get_part_wait_us(const tier_part_t *part, int rank, int64_t now_us)
+{
+	int64_t wait_us;
+
+	if (part->state == PART_SENT || part->state == PART_DONE)
+		return 0;
+	wait_us = leaf_picker_get_wait_us(part->service, rank, now_us);
+	if (wait_us < 0 || part->state == PART_FAILED)
+		wait_us = leaf_picker_get_retry_us(part->service, now_us);
+	/* No leaf is known: wait for a new directory. */
+	return wait_us < 0 ? RETRY_AFTER_US : wait_us;
+}
+
+static int
+compare_times(const void *left, const void *right)
+{
+	int64_t a = *(const int64_t *)left, b = *(const int64_t *)right;
+
+	return (a > b) - (a < b);
+}
+
 /*
- * Retry-After: until each failed shard has a leaf that may be tried again and
- * the queued parts' queues are expected to be empty.
+ * The parts that wait longest may be missing from the answer. Callers that are
+ * refused one after the other must not all return at the same moment.
  */
-static int64_t
-get_retry_after_us(const tier_request_t *request, int64_t now_us)
+int64_t
+tier_get_retry_after_us(tier_request_t *request, int64_t now_us)
 {
-	int64_t max_wait_us = 0;
+	int64_t *waits_us = g_new(int64_t, (gsize)request->part_count);
+	int64_t wait_us, spread_us;
 
-	for (int i = 0; i < request->part_count; i++) {
-		const tier_part_t *part = &request->parts[i];
-		int64_t wait_us = 0;
-
-		if (part->state == PART_FAILED)
-			wait_us =
-			    leaf_picker_get_retry_us(part->service, now_us);
-		else if (part->state == PART_QUEUED)
-			wait_us = leaf_picker_get_wait_us(
-			    part->service, request->rank, now_us);
-		/* No leaf is known: wait for a new directory. */
-		max_wait_us =
-		    MAX(max_wait_us, wait_us < 0 ? RETRY_AFTER_US : wait_us);
-	}
-	return MAX(max_wait_us, RETRY_AFTER_MIN_US);
+	for (int i = 0; i < request->part_count; i++)
+		waits_us[i] =
+		    get_part_wait_us(&request->parts[i], request->rank, now_us);
+	qsort(waits_us, (size_t)request->part_count, sizeof(*waits_us),
+	    compare_times);
+	wait_us = waits_us[tier_get_needed_parts(request) - 1];
+	g_free(waits_us);
+	spread_us =
+	    MIN((int64_t)(RETRY_SPREAD * (double)wait_us), RETRY_SPREAD_MAX_US);
+	wait_us += (int64_t)(gsl_rng_uniform(request->tier->random) *
+			     (double)spread_us);
+	return MAX(wait_us, RETRY_AFTER_MIN_US);
 }
 
 /*
@@ -148,7 +181,7 @@
 	tier_log_end(request, now_us,
 	    status == 503 ? "refused" : (is_late ? "late" : "failed"));
 	tier_answer_status(request->tier, request->caller, status,
-	    status == 503 ? get_retry_after_us(request, now_us) : 0,
+	    status == 503 ? tier_get_retry_after_us(request, now_us) : 0,
 	    status == 503 ? "no leaf can run this now"
 			  : "the leafs did not answer");
 	tier_end_request(request);
--- a/src/tier_leaves.c
+++ b/src/tier_leaves.c
@@ -13,10 +13,12 @@
 #define CONNECTION_SLACK 2
 /* Per directory update; further changes are logged as one count. */
 #define MAX_LEAF_LOG_LINES	 8
-#define MAX_CONNECTIONS_PER_LEAF 32  /* from one VM */
-#define INITIAL_ZONE_RTT_US	 400 /* used until measured, by distance */
-#define INITIAL_REGION_RTT_US	 3500
-#define INITIAL_REMOTE_RTT_US	 25000
+#define MAX_CONNECTIONS_PER_LEAF 32 /* from one VM */
+/* Of drain_us, for requests that wait for a connection to the leaf. */
+#define LEAVE_MARGIN_FRACTION (1.0 / 6)
+#define INITIAL_ZONE_RTT_US   400 /* used until measured, by distance */
+#define INITIAL_REGION_RTT_US 3500
+#define INITIAL_REMOTE_RTT_US 25000
 
 static int64_t *find_rtt(tier_t *tier, const char *zone);
 
@@ -77,6 +79,15 @@
 		    (MIN(rtt_us, 2 * *leaf->rtt_us) - *leaf->rtt_us) / 20;
 }
 
+void
+tier_update_leave_time(const tier_t *tier, tier_leaf_t *leaf)
+{
+	if (leaf->notice.leaving_us != 0)
+		leaf->leave_by_us = leaf->notice.leaving_us +
+				    (int64_t)((double)tier->options.drain_us *
+					      (1.0 - LEAVE_MARGIN_FRACTION));
+}
+
 static void
 remove_leaf(tier_t *tier, tier_leaf_t *leaf)
 {
@@ -84,6 +95,8 @@
 		LIST_REMOVE(leaf, in_service);
 		warming_remove_leaf(tier, leaf);
 		g_hash_table_remove(tier->leaves, leaf->entry.id);
+		leaf_notices_put(tier->notices, leaf->entry.id,
+		    leaf->entry.started_ms, &leaf->notice);
 		leaf->is_removed = true;
 		tier->callbacks.close_leaf(tier->callbacks.context, leaf);
 	}
@@ -102,6 +115,9 @@
 	leaf->rtt_us = find_rtt(tier, entry->zone);
 	leaf_stats_init(&leaf->stats);
 	leaf->stats.warmup_until_us = now_us + entry->warmup_us;
+	leaf->notice =
+	    leaf_notices_take(tier->notices, entry->id, entry->started_ms);
+	tier_update_leave_time(tier, leaf);
 	LIST_INSERT_HEAD(&leaf->service->leaves, leaf, in_service);
 	g_hash_table_insert(tier->leaves, leaf->entry.id, leaf);
 }
@@ -220,7 +236,7 @@
 		    hash_pair(tier->options.seed, hash_text(leaf->entry.id));
 
 		leaf->is_preferred = false;
-		if (leaf->distance != 2 || leaf->entry.is_draining ||
+		if (leaf->distance != 2 || leaf_picker_is_departing(leaf) ||
 		    (best != NULL && hash < best_hash))
 			continue;
 		best = leaf;
--- a/src/tier_private.h
+++ b/src/tier_private.h
@@ -84,10 +84,11 @@
 	route_table_t *table;
 	caller_limits_t limits;
 	int vm_count;
-	GHashTable *services; /* name -> tier_service_t */
-	GHashTable *leaves;   /* id -> tier_leaf_t */
-	GHashTable *routes;   /* name -> route_state_t */
-	GHashTable *rtts;     /* zone -> int64_t */
+	GHashTable *services;	 /* name -> tier_service_t */
+	GHashTable *leaves;	 /* id -> tier_leaf_t */
+	GHashTable *routes;	 /* name -> route_state_t */
+	GHashTable *rtts;	 /* zone -> int64_t */
+	leaf_notices_t *notices; /* of leaves that are not listed */
 	TAILQ_HEAD(, tier_request) requests, ended;
 	TAILQ_HEAD(, tier_attempt) attempts;
 	TAILQ_HEAD(, tier_leaf) warming; /* leaves to connect to early */
@@ -124,6 +125,7 @@
 /* tier_leaves.c */
 tier_service_t *tier_find_service(tier_t *tier, const char *name);
 void tier_update_connection_limits(tier_t *tier);
+void tier_update_leave_time(const tier_t *tier, tier_leaf_t *leaf);
 
 /* warming.c */
 void warming_update_service(tier_t *tier, tier_service_t *service);
@@ -143,6 +145,9 @@
 void tier_answer_status(tier_t *tier, void *caller, int status,
     int64_t retry_after_us, const char *reason);
 bool tier_has_enough_parts(const tier_request_t *request);
+int tier_get_needed_parts(const tier_request_t *request);
+/** Time until the needed parts can be expected to run, and a random delay. */
+int64_t tier_get_retry_after_us(tier_request_t *request, int64_t now_us);
 void tier_log_end(tier_request_t *request, int64_t now_us, const char *outcome);
 
 #endif
--- a/src/tier_process.c
+++ b/src/tier_process.c
@@ -208,6 +208,7 @@
 		.retry_ratio = settings->retry_ratio,
 		.retry_slack = settings->retry_slack,
 		.retry_window_us = settings->retry_window_us,
+		.drain_us = settings->drain_us,
 		.initial_vm_count = VM_COUNT_INITIAL,
 		.seed = hash_text(settings->id) };
 	tier_callbacks_t tier_callbacks = { traffic, send_attempt,
--- a/src/warming.c
+++ b/src/warming.c
@@ -41,7 +41,8 @@
 		uint64_t hash =
 		    hash_pair(tier->options.seed, hash_text(leaf->entry.id));
 
-		if (leaf->entry.is_draining || leaf->entry.is_entry_missing)
+		if (leaf_picker_is_departing(leaf) ||
+		    leaf->entry.is_entry_missing)
 			continue;
 		leaf_count++;
 		if (nearest != NULL &&
@@ -71,8 +72,9 @@
 warm_leaf(tier_t *tier, tier_leaf_t *leaf, int64_t now_us)
 {
 	leaf->is_warmed = true;
-	if (leaf->connection_count > 0 || leaf->entry.is_draining ||
+	if (leaf->connection_count > 0 || leaf_picker_is_departing(leaf) ||
 	    leaf->is_address_reused || now_us < leaf->stats.down_until_us ||
+	    now_us < leaf->notice.retry_at_us ||
 	    now_us < leaf->stats.connection_limit_until_us)
 		return;
 	tier->callbacks.warm_leaf(tier->callbacks.context, leaf);
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -5,18 +5,18 @@
  * only the store, or only one leaf.
  *
  * GET  /stats                      what ran, and what broke a promise
- * GET  /fault?leaf=ID&kind=K&share=S   K: none dark reset cut cut-head garbage
- *                                  extra error shed slow moved; leaf=all for
- * all GET  /store?mode=M               M: up down silent busy slow lost compact
- *                                  cut
- * GET  /leaf?id=ID&state=S         S: ready draining gone bad
- * POST /raw?kind=K&id=ID            an object whose spec is the body, as it is
- * GET  /turn-away?vm=N&state=S     the store's port of this VM; S: on off
- * GET  /late?ms=N                  arrivals at leafs that left N ms before
- * GET  /drain-while-listed?id=ID   it drains between two pages of a list
- * GET  /entry?id=ID&state=S&service=N&address=A&zone=Z   a leaf elsewhere
- * GET  /configuration?version=N&set=NAME&shards=N   the next configuration
- * GET  /churn?version=N            N changes of one leaf's entry
+ * GET  /fault?leaf=ID&kind=K&share=S&value=V   K: none dark reset cut cut-head
+ * garbage leaving ask-time without-id without-id-extra extra error shed slow
+ * moved; leaf=all for all GET  /store?mode=M               M: up down silent
+ * busy slow lost compact cut GET  /leaf?id=ID&state=S         S: ready draining
+ * gone bad POST /raw?kind=K&id=ID            an object whose spec is the body,
+ * as it is GET  /turn-away?vm=N&state=S     the store's port of this VM; S: on
+ * off GET  /late?ms=N                  arrivals at leafs that left N ms before,
+ * and at leafs that had asked for time GET  /drain-while-listed?id=ID   it
+ * drains between two pages of a list GET
+ * /entry?id=ID&state=S&service=N&address=A&zone=Z   a leaf elsewhere GET
+ * /configuration?version=N&set=NAME&shards=N   the next configuration GET
+ * /churn?version=N            N changes of one leaf's entry
  */
 #include <argtable2.h>
 #include <stdio.h>
@@ -110,7 +110,8 @@
 /* ---- Control ---- */
 
 static void
-set_fault(site_t *site, const char *id, const char *fault, const char *share)
+set_fault(site_t *site, const char *id, const char *fault, const char *share,
+    const char *value)
 {
 	for (guint i = 0; i < site->leafs->len; i++) {
 		site_leaf_t *leaf = g_ptr_array_index(site->leafs, i);
@@ -119,6 +120,8 @@
 			continue;
 		g_strlcpy(leaf->fault, fault, sizeof(leaf->fault));
 		leaf->share = share != NULL ? strtod(share, NULL) : 1.0;
+		g_strlcpy(leaf->value, value != NULL ? value : "1",
+		    sizeof(leaf->value));
 	}
 }
 
@@ -211,7 +214,8 @@
 			late++;
 		else
 			early++;
-	snprintf(body, sizeof(body), "in time %d late %d\n", early, late);
+	snprintf(body, sizeof(body), "in time %d late %d held %d\n", early,
+	    late, link->port->site->held_arrivals);
 	site_respond(link, 200, "", body, strlen(body));
 }
 
@@ -229,11 +233,13 @@
 	char *version = site_get_query(target, "version");
 	char *vm = site_get_query(target, "vm");
 	char *bound_ms = site_get_query(target, "ms");
+	char *text = site_get_query(target, "value");
+	char *value = text != NULL ? g_uri_unescape_string(text, NULL) : NULL;
 	char body[256];
 	int drained = 0;
 
 	if (g_str_has_prefix(target, "/fault"))
-		set_fault(site, leaf, kind, share);
+		set_fault(site, leaf, kind, share, value);
 	else if (g_str_has_prefix(target, "/leaf"))
 		set_leaf(site, id, state);
 	else if (g_str_has_prefix(target, "/drain-while-listed"))
@@ -271,6 +277,8 @@
 	g_free(version);
 	g_free(vm);
 	g_free(bound_ms);
+	g_free(text);
+	g_free(value);
 }
 
 /* ---- Connections ---- */
--- a/stand-ins/site.h
+++ b/stand-ins/site.h
@@ -21,8 +21,10 @@
 	char id[32], service[32], address[64], zone[32];
 	int slots, busy;
 	GQueue queue; /* site_link_t */
-	char fault[16];
-	double share; /* of the answers that the fault hits */
+	char fault[24];
+	double share;	 /* of the answers that the fault hits */
+	char value[512]; /* of the header that the fault is about */
+	int64_t held_from_us, held_until_us; /* arrivals then are not wanted */
 	bool is_draining;
 	int64_t left_us; /* it began to drain, or its entry was removed */
 	int arrivals_drained;
@@ -45,6 +47,7 @@
 	int64_t watch_revision; /* -1: no watch */
 	char *kind;		/* of the watch */
 	bool is_running, is_queued, is_ended, is_delayed;
+	bool has_late_extra; /* sent when the next request arrives */
 	const char *endless; /* sent again and again until the VM closes */
 	GString *backlog;
 } site_link_t;
@@ -57,6 +60,7 @@
 	    *raw_texts; /* char *; stored by number, see site_store_put_raw */
 	GPtrArray *vm_ports;  /* site_port_t of the store, one for each VM */
 	GArray *arrival_ages; /* int64_t, us, at leafs that had left */
+	int held_arrivals;    /* at leafs that had asked for time */
 	GHashTable *objects;  /* "kind/name" -> json_t */
 	GQueue history;	      /* site_event_t */
 	int64_t revision, oldest;
--- a/stand-ins/site_leafs.c
+++ b/stand-ins/site_leafs.c
@@ -9,6 +9,12 @@
 #include "part_body.h"
 #include "site.h"
 
+/* Names no request, and says that the one that waits did not run. */
+#define EXTRA_REFUSAL                                                      \
+	"HTTP/1.1 503 Service Unavailable\r\nPlantainarch-Not-Executed: 1" \
+	"\r\nContent-Length: 0\r\n\r\n"
+#define HELD_SLACK_US 500000 /* requests may be on their way for so long */
+
 site_leaf_t *
 site_leafs_add(site_t *site, const char *id, const char *service,
     const char *address, const char *zone)
@@ -45,6 +51,42 @@
 	return strcmp(leaf->fault, fault) == 0 && site_draw(site) < leaf->share;
 }
 
+/* From the first such answer on the leaf wants nothing after some time. */
+static const char *
+get_leaving_header(site_leaf_t *leaf, site_t *site)
+{
+	static char header[600];
+
+	header[0] = '\0';
+	if (!is_hit(leaf, site, "leaving"))
+		return header;
+	if (leaf->left_us == 0 && strcmp(leaf->value, "1") == 0)
+		leaf->left_us = clock_get_us();
+	snprintf(header, sizeof(header), "SERVER-Leaving: %s\r\n", leaf->value);
+	return header;
+}
+
+/* Refuses and asks for time. Only a plain number counts as asked. */
+static void
+ask_for_time(site_link_t *link, const char *id)
+{
+	site_leaf_t *leaf = link->port->leaf;
+	int64_t now_us = clock_get_us();
+	char headers[1200];
+	char *end;
+	double seconds = strtod(leaf->value, &end);
+
+	if (*end == '\0' && seconds > 0 && seconds < 1e6) {
+		leaf->held_from_us = now_us + HELD_SLACK_US;
+		leaf->held_until_us = now_us + (int64_t)(seconds * 1e6);
+	}
+	snprintf(headers, sizeof(headers),
+	    "Plantainarch-Request-Id: %s\r\nPlantainarch-Not-Executed: 1\r\n"
+	    "Retry-After: %s\r\n",
+	    id, leaf->value);
+	site_respond(link, 503, headers, "", 0);
+}
+
 #define ENDLESS_REPEATS 2048 /* of the text, in one write */
 
 /* What a leaf sends without end, by the name of the fault. */
@@ -104,6 +146,7 @@
 	const char *id =
 	    http_get_header(&link->message, "Plantainarch-Request-Id");
 	char headers[1024], extra[2048], stamp[256];
+	bool has_no_id = is_hit(leaf, site, "without-id");
 	char body[PART_BODY_BYTES];
 
 	snprintf(stamp, sizeof(stamp), "%s.%s.%s", leaf->service, leaf->id, id);
@@ -111,9 +154,9 @@
 	link->is_running = false;
 	leaf->busy--;
 	snprintf(headers, sizeof(headers),
-	    "Plantainarch-Request-Id: %s\r\nPlantainarch-Server-Stamp: "
-	    "%s\r\n",
-	    id, stamp);
+	    "%s%s%sPlantainarch-Server-Stamp: %s\r\n%s",
+	    has_no_id ? "" : "plantainarch-request-id: ", has_no_id ? "" : id,
+	    has_no_id ? "" : "\r\n", stamp, get_leaving_header(leaf, site));
 	if (begin_endless(link))
 		return;
 	if (is_hit(leaf, site, "reset")) {
@@ -152,6 +195,9 @@
 		return;
 	}
 	site_respond(link, 200, headers, body, sizeof(body));
+	/* It comes when the next request has arrived. */
+	if (is_hit(leaf, site, "without-id-extra"))
+		link->has_late_extra = true;
 	/* The extra answer stands where the next one is expected. */
 	if (is_hit(leaf, site, "extra")) {
 		snprintf(extra, sizeof(extra),
@@ -208,11 +254,20 @@
 	}
 	if (expected == NULL || strcmp(expected, leaf->id) != 0 ||
 	    strcmp(leaf->fault, "moved") == 0) {
-		site_respond(
-		    link, 421, "Plantainarch-Instance-Id: other\r\n", "", 0);
+		char headers[256];
+
+		snprintf(headers, sizeof(headers),
+		    "Plantainarch-Request-Id: %s\r\n"
+		    "Plantainarch-Instance-Id: other\r\n",
+		    id);
+		site_respond(link, 421, headers, "", 0);
 		return;
 	}
 	tell(link, "arrived", id);
+	if (link->has_late_extra)
+		stream_write(
+		    link->stream, EXTRA_REFUSAL, sizeof(EXTRA_REFUSAL) - 1);
+	link->has_late_extra = false;
 	if (leaf->is_draining)
 		leaf->arrivals_drained++;
 	if (leaf->left_us != 0) {
@@ -220,9 +275,21 @@
 
 		g_array_append_val(site->arrival_ages, age_us);
 	}
+	if (clock_get_us() > leaf->held_from_us &&
+	    clock_get_us() < leaf->held_until_us)
+		site->held_arrivals++;
+	if (is_hit(leaf, site, "ask-time")) {
+		ask_for_time(link, id);
+		return;
+	}
 	if (is_hit(leaf, site, "shed")) {
-		site_respond(
-		    link, 503, "Plantainarch-Not-Executed: 1\r\n", "", 0);
+		char headers[256];
+
+		snprintf(headers, sizeof(headers),
+		    "Plantainarch-Request-Id: %s\r\n"
+		    "Plantainarch-Not-Executed: 1\r\n",
+		    id);
+		site_respond(link, 503, headers, "", 0);
 		return;
 	}
 	if (leaf->busy < leaf->slots) {
--- a/tests/support/tier_world.c
+++ b/tests/support/tier_world.c
@@ -23,6 +23,9 @@
 #define BURST_END_US	 7000000
 #define DRAIN_US	 4000000
 #define RETURN_WORTH	 0.525 /* mean worth of a late answer and one in time */
+#define DRAIN_BOUND_US	 3000000
+#define ASKED_TIME_US	 1000000
+#define ASKED_SLACK_US	 500000 /* requests may be on their way */
 #define RETRY_RATIO	 0.2
 #define RETRY_SLACK	 58
 #define STEP_US		 500000
@@ -78,8 +81,14 @@
 	int64_t network_delay_us;
 	int flow;
 	attempt_outcome_t outcome;
+	bool says_leaving, asks_time;
 };
 
+/** What a VM has heard from a leaf. */
+typedef struct world_word {
+	int64_t leaving_us, asked_us; /* when it passed on the answer; or 0 */
+} world_word_t;
+
 struct world_leaf {
 	char id[16], service[16];
 	int zone, number, slots, busy;
@@ -105,6 +114,7 @@
 	GHashTable *regions;
 	GHashTable *arrived;  /* "call service" */
 	GHashTable *services; /* name -> world_service_t */
+	GHashTable *words;    /* "vm leaf" -> world_word_t */
 	route_table_t *table;
 	world_result_t results[4];
 	world_totals_t totals;
@@ -274,6 +284,37 @@
 	record_budget_use(world, service, step);
 }
 
+static world_word_t *
+find_word(tier_world_t *world, const world_job_t *job)
+{
+	char *key =
+	    g_strdup_printf("%p %s", (const void *)job->vm, job->leaf->id);
+	world_word_t *word = g_hash_table_lookup(world->words, key);
+
+	if (word != NULL) {
+		g_free(key);
+		return word;
+	}
+	word = g_new0(world_word_t, 1);
+	g_hash_table_insert(world->words, key, word);
+	return word;
+}
+
+/* Counts the arrivals that the leaf's own word forbids. */
+static void
+check_word(tier_world_t *world, const world_job_t *job)
+{
+	const world_word_t *word = find_word(world, job);
+
+	if (word->leaving_us != 0 &&
+	    job->call->begun_us > word->leaving_us + DRAIN_BOUND_US)
+		world->totals.sent_to_left++;
+	if (word->asked_us != 0 &&
+	    world->now_us > word->asked_us + ASKED_SLACK_US &&
+	    world->now_us < word->asked_us + ASKED_TIME_US)
+		world->totals.sent_unwanted++;
+}
+
 static void
 arrive(tier_world_t *world, world_job_t *job)
 {
@@ -285,6 +326,8 @@
 		return; /* closed in transit; the leaf discards it */
 	if (leaf->is_draining && world->now_us > DRAIN_US + 200000)
 		world->totals.sent_to_drained++;
+	check_word(world, job);
+	job->says_leaving = fault == FAULT_LEAVE;
 	if (fault == FAULT_UNRESPONSIVE) {
 		count_arrival(world, job);
 		return;
@@ -294,6 +337,11 @@
 		return;
 	}
 	count_arrival(world, job);
+	if (fault == FAULT_ASK_TIME) {
+		job->asks_time = true;
+		reply(world, job, OUTCOME_NOT_RUN);
+		return;
+	}
 	if ((fault == FAULT_SHED && gsl_rng_uniform(world->random) < 0.45) ||
 	    g_queue_get_length(&leaf->queue) >= WORLD_QUEUE) {
 		reply(world, job, OUTCOME_NOT_RUN);
@@ -327,11 +375,18 @@
 		.status = job->outcome == OUTCOME_ANSWERED ? 200 : 500,
 		.stamp = stamp,
 		.body = body,
-		.body_length = 64 };
+		.body_length = 64,
+		.is_leaving = job->says_leaving,
+		.retry_after_us = job->asks_time ? ASKED_TIME_US : 0 };
 	tier_attempt_t *attempt = job->attempt;
+	world_word_t *word = find_word(world, job);
 
 	if (attempt == NULL)
 		return;
+	if (job->says_leaving && word->leaving_us == 0)
+		word->leaving_us = world->now_us;
+	if (job->asks_time)
+		word->asked_us = world->now_us;
 	g_snprintf(
 	    stamp, sizeof(stamp), "%s.%s", job->call->id, job->leaf->service);
 	for (size_t i = 0; i < sizeof(body); i++)
@@ -607,6 +662,7 @@
 		.retry_ratio = RETRY_RATIO,
 		.retry_slack = RETRY_SLACK,
 		.retry_window_us = 10000000,
+		.drain_us = DRAIN_BOUND_US,
 		.initial_vm_count = world->options.is_count_unknown
 					? INITIAL_VM_COUNT
 					: world->options.vms,
@@ -637,6 +693,8 @@
 	world->jobs = g_ptr_array_new_with_free_func(g_free);
 	world->services =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	world->words =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	world->arrived =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	world->regions =
@@ -679,6 +737,7 @@
 	g_hash_table_unref(world->regions);
 	g_hash_table_unref(world->arrived);
 	g_hash_table_unref(world->services);
+	g_hash_table_unref(world->words);
 	route_table_release(world->table);
 	gsl_rng_free(world->random);
 	g_free(world);
--- a/tests/support/tier_world.h
+++ b/tests/support/tier_world.h
@@ -16,11 +16,13 @@
 	FAULT_UNRESPONSIVE, /* does not answer */
 	FAULT_REFUSE,	    /* connections are refused */
 	FAULT_SLOW,	    /* eight times the work */
-	FAULT_SHED,  /* refuses 45 of 100 requests without running them */
-	FAULT_ERROR, /* fails 40 of 100 requests */
-	FAULT_MUTE,  /* runs the request, 40 of 100 answers are lost */
-	FAULT_RESET, /* runs it, and resets 30 of 100 new connections */
-	FAULT_LOSE   /* runs the request, 8 of 100 answers are lost */
+	FAULT_SHED,	/* refuses 45 of 100 requests without running them */
+	FAULT_ERROR,	/* fails 40 of 100 requests */
+	FAULT_MUTE,	/* runs the request, 40 of 100 answers are lost */
+	FAULT_RESET,	/* runs it, and resets 30 of 100 new connections */
+	FAULT_LOSE,	/* runs the request, 8 of 100 answers are lost */
+	FAULT_ASK_TIME, /* refuses, and wants no request for a second */
+	FAULT_LEAVE	/* says in its answers that it leaves */
 } world_fault_t;
 
 /** One kind of request in an open loop. */
@@ -57,6 +59,9 @@
 	int original, extra;   /* requests that reached leaves */
 	int runs, useful_runs; /* useful: of calls answered in time */
 	int runs_twice, refused_but_ran, sent_to_drained;
+	int sent_to_left;  /* by the caller later than the bound after the word
+			    */
+	int sent_unwanted; /* in the time that a leaf asked for, less slack */
 	int max_connections;   /* open at one leaf, from all VMs */
 	double max_budget_use; /* of one window; 1: the whole budget */
 	double refuse_ms;      /* mean time to refuse */
