Do not take an answer that names no request for that of the one in work

Cause: an answer without an id was accepted for the request in work, and its 'did not run' let the order be sent to another leaf.

Fix: such an answer says nothing. The real one is waited for as long as answers usually take, on a connection that has answered before; otherwise the attempt is lost.

--- a/src/events.h
+++ b/src/events.h
@@ -131,5 +131,7 @@
     "a leaf refused a request and wants none for the stated time")
 LOG_EVENT(634, LOG_TIER_BAD_HEADER, G_LOG_LEVEL_WARNING,
     "a header of a leaf has a value that is not understood; it is ignored")
+LOG_EVENT(635, LOG_TIER_ANSWER_WITHOUT_ID, G_LOG_LEVEL_WARNING,
+    "a leaf's answer names no request; the answer is waited for, not for long")
 LOG_EVENT(690, LOG_LINES_DROPPED, G_LOG_LEVEL_WARNING,
     "log lines of one event were dropped in a second; a field counts them")
--- a/src/metrics_list.h
+++ b/src/metrics_list.h
@@ -68,6 +68,8 @@
     "leafs that said in an answer that they leave")
 METRIC(METRIC_TIER_TIME_ASKED, "tier_time_asked_total",
     "refusals of leafs that asked for time")
+METRIC(METRIC_TIER_ANSWERS_WITHOUT_ID, "tier_answers_without_id_total",
+    "answers of leafs that name no request")
 METRIC(METRIC_TIER_CONNECTIONS_OPENED, "tier_connections_opened_total",
     "connections opened to leafs")
 METRIC(METRIC_TIER_CONFIGURATION_VERSION, "tier_configuration_version",
--- a/src/pool.c
+++ b/src/pool.c
@@ -35,6 +35,7 @@
 	size_t buffered_bytes;	  /* of the answer in progress */
 	int skipped_count;	  /* answers to other requests */
 	bool has_received;	  /* bytes were received on it */
+	bool has_answered;	  /* a request before the present one */
 	bool is_open, must_close; /* must_close: after this answer */
 	bool is_finishing; /* its answer is being reported: not to be used */
 } leaf_connection_t;
@@ -167,6 +168,7 @@
 		http_message_reset(&connection->message);
 		set_buffered_bytes(connection, 0);
 		connection->skipped_count = 0;
+		connection->has_answered = true;
 		connection->is_finishing = false;
 		connection->idle_since_us = clock_get_us();
 	} else
@@ -246,6 +248,12 @@
 	const http_message_t *request = pool->callbacks.get_request(
 	    pool->callbacks.context, attempt->caller);
 
+	/* Bytes of an earlier answer would be read as that of this request. */
+	while (connection != NULL && !attempt->may_repeat &&
+	       connection->is_open && stream_has_unread(connection->stream)) {
+		destroy_connection(connection);
+		connection = find_idle_connection(leaf_pool, now_us);
+	}
 	if (connection == NULL)
 		connection = open_connection(leaf_pool, now_us);
 	if (connection == NULL) {
@@ -338,8 +346,42 @@
 	return now_us + idle_us - IDLE_MARGIN_US;
 }
 
+static void
+log_answer_without_id(const leaf_connection_t *connection, int status)
+{
+	const tier_leaf_t *leaf = connection->attempt->leaf;
+	char plain_id[KEY_BYTES];
+
+	metric_add(METRIC_TIER_ANSWERS_WITHOUT_ID, 1);
+	log_copy_plain(plain_id, sizeof(plain_id), connection->id);
+	log_fields(LOG_TIER_ANSWER_WITHOUT_ID,
+	    "\"id\":\"%s\",\"leaf\":\"%s\",\"service\":\"%s\",\"status\":%d",
+	    plain_id, leaf->entry.id, leaf->entry.service, status);
+}
+
+/*
+ * A message that names no request says nothing of this one, which may have run.
+ * It may be an addition to the answer before: the answer is waited for.
+ * Returns true if there was none before, so that it ends the attempt.
+ */
+static bool
+take_answer_without_id(leaf_connection_t *connection, leaf_answer_t *answer)
+{
+	pool_t *pool = connection->leaf_pool->pool;
+
+	log_answer_without_id(connection, answer->status);
+	connection->must_close = true;
+	if (!connection->has_answered) {
+		*answer = (leaf_answer_t){ .outcome = OUTCOME_CONNECTION_LOST };
+		return true;
+	}
+	metric_add(METRIC_REPLIES_DROPPED, 1);
+	pool->callbacks.doubted(pool->callbacks.context, connection->attempt);
+	return false;
+}
+
 /*
- * Returns true if the message answers the connection's current request. A late
+ * Returns true if the message ends the connection's current request. A late
  * answer to another request may come first; it is skipped.
  */
 static bool
@@ -352,8 +394,9 @@
 	*answer = (leaf_answer_t){ .message = &connection->message };
 	connection->leaf_pool->pool->protocol->read_leaf_answer(
 	    &connection->message, answer, &id);
-	if (id == NULL ||
-	    strncmp(id, connection->id, sizeof(connection->id) - 1) == 0)
+	if (id == NULL)
+		return take_answer_without_id(connection, answer);
+	if (strncmp(id, connection->id, sizeof(connection->id) - 1) == 0)
 		return true;
 	metric_add(METRIC_REPLIES_DROPPED, 1);
 	connection->must_close = true;
--- a/src/tier.c
+++ b/src/tier.c
@@ -537,6 +537,20 @@
 	dispatch(service, now_us);
 }
 
+/*
+ * The answer may still follow, as fast as usual: a connection is not held for
+ * longer than that.
+ */
+void
+tier_handle_doubt(tier_t *tier, int64_t now_us, tier_attempt_t *attempt)
+{
+	int64_t usual_us = leaf_stats_get_overdue_us(attempt->route_stats,
+	    &attempt->leaf->stats, *attempt->leaf->rtt_us);
+
+	attempt->close_at_us = MIN(attempt->close_at_us, now_us + usual_us);
+	tier->next_sweep_us = MIN(tier->next_sweep_us, attempt->close_at_us);
+}
+
 /* Moves late parts behind those that can still be in time. */
 static void
 demote_request(tier_request_t *request)
--- a/src/tier.h
+++ b/src/tier.h
@@ -317,6 +317,8 @@
     tier_request_t *request); /* the caller disconnected */
 void tier_handle_answer(tier_t *tier, int64_t now_us, tier_attempt_t *attempt,
     const leaf_answer_t *answer); /* ends the attempt */
+/** An answer that names no request came in the place of the attempt's. */
+void tier_handle_doubt(tier_t *tier, int64_t now_us, tier_attempt_t *attempt);
 void tier_record_rtt(
     tier_leaf_t *leaf, int64_t rtt_us); /* of a new connection */
 int64_t tier_tick(
--- a/src/tier_process.c
+++ b/src/tier_process.c
@@ -109,6 +109,14 @@
 	tier_handle_answer(traffic->tier, clock_get_us(), attempt, answer);
 }
 
+static void
+handle_doubt(void *context, tier_attempt_t *attempt)
+{
+	traffic_t *traffic = context;
+
+	tier_handle_doubt(traffic->tier, clock_get_us(), attempt);
+}
+
 static const http_message_t *
 get_request(void *context, void *caller)
 {
@@ -215,7 +223,7 @@
 		cancel_attempt, send_answer, warm_leaf, remove_leaf,
 		log_write_fields };
 	pool_callbacks_t pool_callbacks = { traffic, handle_leaf_answer,
-		get_request };
+		handle_doubt, get_request };
 
 	g_strlcpy(options.zone, settings->zone, sizeof(options.zone));
 	g_strlcpy(options.region, settings->region, sizeof(options.region));
--- a/src/tier_process.h
+++ b/src/tier_process.h
@@ -116,6 +116,8 @@
 	void *context;
 	void (*answered)(void *context, tier_attempt_t *attempt,
 	    const leaf_answer_t *answer);
+	/** An answer that names no request came while this one waits. */
+	void (*doubted)(void *context, tier_attempt_t *attempt);
 	/** Returns the caller's request; `caller` is the attempt's field. */
 	const http_message_t *(*get_request)(void *context, void *caller);
 } pool_callbacks_t;
