Answer a refused HEAD request without a body

What callers saw: a HEAD request that the tier itself refused was answered with a body, which stood where the answer to the next request was due.

Cause: write_status_answer() did not look at the method; nor did the answer of a gather.

Test: tests/cases/tier_path.sh sends two HEAD requests on one connection; before, the body of the first came between the two heads.

--- a/src/listener.c
+++ b/src/listener.c
@@ -248,7 +248,8 @@
 /* ---- Answers ---- */
 
 static void
-write_status_answer(GString *out, const tier_answer_t *answer)
+write_status_answer(
+    GString *out, const tier_answer_t *answer, bool is_without_body)
 {
 	char body[256];
 	int length = snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n",
@@ -259,19 +260,20 @@
 		    (double)answer->retry_after_us / 1e6);
 	g_string_append_printf(out,
 	    "Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
-	    length, body);
+	    length, is_without_body ? "" : body);
 }
 
 static void
-write_gather_answer(
-    GString *out, const protocol_t *protocol, const tier_answer_t *answer)
+write_gather_answer(GString *out, const protocol_t *protocol,
+    const tier_answer_t *answer, bool is_without_body)
 {
 	protocol->write_gather_headers(out, answer);
 	g_string_append_printf(out,
 	    "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
 	    answer->records->len);
-	g_string_append_len(
-	    out, answer->records->str, (gssize)answer->records->len);
+	if (!is_without_body)
+		g_string_append_len(
+		    out, answer->records->str, (gssize)answer->records->len);
 }
 
 /* Writes the leaf's answer without its hop-by-hop headers. */
@@ -310,6 +312,7 @@
 	caller_connection_t *connection = caller;
 	listener_t *listener = connection->listener;
 	GString *out = g_string_truncate(listener->scratch, 0);
+	bool is_without_body = connection->message.parser.method == HTTP_HEAD;
 
 	if (!connection->message.is_persistent ||
 	    (listener->is_closing && !has_next_request(connection)))
@@ -320,10 +323,11 @@
 		g_string_append(out, "Connection: close\r\n");
 	switch (answer->type) {
 	case ANSWER_STATUS:
-		write_status_answer(out, answer);
+		write_status_answer(out, answer, is_without_body);
 		break;
 	case ANSWER_GATHER:
-		write_gather_answer(out, listener->protocol, answer);
+		write_gather_answer(
+		    out, listener->protocol, answer, is_without_body);
 		break;
 	case ANSWER_LEAF:
 		write_leaf_answer(out, answer);
--- a/tests/cases/tier_path.sh
+++ b/tests/cases/tier_path.sh
@@ -28,6 +28,13 @@
 head -c 3000000 /dev/zero | tr '\0' x >"$PA_SCRATCH/large"
 status POST /fetch/x r9 -H 'Expect:' --data-binary "@$PA_SCRATCH/large"
 
+echo "== a refused HEAD has no body, which would stand where the next answer is due"
+exec 9<>"/dev/tcp/127.0.0.1/$(tier_caller_port 1)"
+printf 'HEAD /nothing/ HTTP/1.1\r\nHost: site.example\r\nPlantainarch-Request-Id: h1\r\n\r\nHEAD /fetch/ HTTP/1.1\r\nHost: site.example\r\nPlantainarch-Request-Id: h2\r\nConnection: close\r\n\r\n' >"$PA_SCRATCH/heads"
+cat "$PA_SCRATCH/heads" >&9
+timeout 3 cat <&9 | tr -d '\r' >"$PA_SCRATCH/answers"; exec 9>&-
+grep -ao '^HTTP/1.1 [0-9]*' "$PA_SCRATCH/answers"; echo "bodies: $(grep -c error "$PA_SCRATCH/answers")"
+
 echo "== configuration"
 tier_control '/configuration?version=5' >/dev/null; sleep 1
 echo "versions in force: $(tier_metric 1 tier_configuration_version) $(tier_metric 2 tier_configuration_version)"
