Count a reset request among the leafs that may have run it

Cause: a reset on a new connection was taken for the leaf's connection limit and did not count as an attempt, so that the next one could go to another leaf.

Fix: a part remembers the leafs that run it or may have run it; no other leaf is asked once they are as many as the route allows.

Test: tests/tier_load.c, 'one attempt allowed', and the limit as an invariant of every pattern.

--- a/src/part.c
+++ b/src/part.c
@@ -116,6 +116,34 @@
 	part->hedge_at_us = part->sent_us + MIN(overdue_us, latest_us);
 }
 
+static int
+find_asked(const tier_part_t *part, const tier_leaf_t *leaf)
+{
+	for (int i = 0; i < part->asked.count; i++)
+		if (part->asked.leaves[i] == leaf)
+			return i;
+	return -1;
+}
+
+/* The route limits the leaves that may run one part, however each try ended. */
+static bool
+may_ask(const tier_part_t *part, const tier_leaf_t *leaf)
+{
+	int max = MIN(part->request->route->max_attempts, MAX_ATTEMPTS);
+
+	return part->asked.count < max || find_asked(part, leaf) >= 0;
+}
+
+/* The leaf has not run it. */
+static void
+forget_asked(tier_part_t *part, const tier_leaf_t *leaf)
+{
+	int i = find_asked(part, leaf);
+
+	if (i >= 0)
+		part->asked.leaves[i] = part->asked.leaves[--part->asked.count];
+}
+
 static void
 send_attempt(
     tier_part_t *part, tier_leaf_t *leaf, int64_t now_us, bool is_extra)
@@ -141,6 +169,8 @@
 	part->sent_count++;
 	part->in_flight_count++;
 	part->tried.leaves[part->tried.count++] = leaf;
+	if (find_asked(part, leaf) < 0)
+		part->asked.leaves[part->asked.count++] = leaf;
 	part->sent_us = now_us;
 	part_update_hedge_time(part);
 	request->next_check_us = MIN(request->next_check_us, part->hedge_at_us);
@@ -196,6 +226,8 @@
 	case LEAF_PICKER_FOUND:
 		break;
 	}
+	if (!may_ask(part, leaf))
+		return "no attempt is left";
 	if (is_hedge && leaf->stats.is_stalled)
 		return "the other leaf is stalled too";
 	if (is_hedge && now_us + expected_us > request->deadline_us)
@@ -245,6 +277,10 @@
 	    request->rank, &part->tried, now_us, request->tier->random, &leaf,
 	    &expected_us)) {
 	case LEAF_PICKER_FOUND:
+		if (!may_ask(part, leaf)) {
+			part_fail(part);
+			break;
+		}
 		part_unqueue(part);
 		send_attempt(part, leaf, now_us, is_extra);
 		break;
@@ -595,13 +631,16 @@
 
 /* Handles a failed attempt: retries at another leaf or fails the part. */
 static part_result_t
-retry_part(tier_part_t *part, int64_t now_us, const leaf_answer_t *answer)
+retry_part(tier_part_t *part, const tier_leaf_t *leaf, int64_t now_us,
+    const leaf_answer_t *answer)
 {
 	tier_request_t *request = part->request;
 	bool ran = may_have_executed(answer->outcome);
 	bool is_connection_limit = answer->outcome == OUTCOME_CONNECTION_LIMIT;
 
 	part->may_have_run = part->may_have_run || ran;
+	if (!ran)
+		forget_asked(part, leaf);
 	if (!ran || is_connection_limit)
 		part->sent_count--; /* does not count as an attempt */
 	update_may_have_run(request);
@@ -686,7 +725,8 @@
 		} else if (is_final && !part->request->route->is_gather)
 			result = PART_RESULT_FORWARD;
 		else
-			result = retry_part(part, now_us, &answer);
+			result =
+			    retry_part(part, attempt->leaf, now_us, &answer);
 	}
 	free_attempt(attempt);
 	return result;
--- a/src/tier_private.h
+++ b/src/tier_private.h
@@ -35,6 +35,7 @@
 	int64_t sent_us;      /* the latest attempt */
 	int64_t hedge_at_us;
 	leaf_exclusions_t tried;
+	leaf_exclusions_t asked; /* leaves that run it, or may have run it */
 };
 
 /** Effect of an attempt's answer on its request. */
--- a/tests/pool_reconnect.c
+++ b/tests/pool_reconnect.c
@@ -94,7 +94,8 @@
 main(void)
 {
 	pool_world_t world = { .info = { .id = "r" }, .rtt_us = 1000 };
-	pool_callbacks_t callbacks = { &world, handle_answer, NULL, get_request };
+	pool_callbacks_t callbacks = { &world, handle_answer, NULL,
+		get_request };
 	bool is_good = true;
 
 	world.loop = loop_create();
--- a/tests/support/tier_world.c
+++ b/tests/support/tier_world.c
@@ -115,6 +115,7 @@
 	GHashTable *arrived;  /* "call service" */
 	GHashTable *services; /* name -> world_service_t */
 	GHashTable *words;    /* "vm leaf" -> world_word_t */
+	GHashTable *ran;      /* "call service" -> set of world_leaf_t */
 	route_table_t *table;
 	world_result_t results[4];
 	world_totals_t totals;
@@ -134,6 +135,13 @@
 	{ "/fetch/", 3000000, 1000000, 2, 0, 1.0, 120000, false },
 };
 
+static int
+get_max_attempts(const tier_world_t *world)
+{
+	return world->options.max_attempts > 0 ? world->options.max_attempts
+					       : 2;
+}
+
 static const struct flow_kind *
 get_kind(const char *prefix)
 {
@@ -200,6 +208,23 @@
 	return at_us + work_us;
 }
 
+/* Counts the leaves that ran one part of a call. */
+static void
+record_run(tier_world_t *world, const world_job_t *job)
+{
+	char *key = g_strdup_printf("%s %s", job->call->id, job->leaf->service);
+	GHashTable *leaves = g_hash_table_lookup(world->ran, key);
+
+	if (leaves == NULL) {
+		leaves = g_hash_table_new(NULL, NULL);
+		g_hash_table_insert(world->ran, key, leaves);
+	} else
+		g_free(key);
+	if (g_hash_table_add(leaves, job->leaf) &&
+	    (int)g_hash_table_size(leaves) > get_max_attempts(world))
+		world->totals.over_attempts++;
+}
+
 static void
 start_job(tier_world_t *world, world_leaf_t *leaf, world_job_t *job)
 {
@@ -224,6 +249,7 @@
 	if (is_faulty && world->options.fault == FAULT_RESET && draw < 0.3)
 		job->outcome =
 		    OUTCOME_CONNECTION_LIMIT; /* on a new connection */
+	record_run(world, job);
 	leaf->busy++;
 	job->call->runs++;
 	world->totals.runs++;
@@ -614,7 +640,7 @@
 		route->is_gather = kind->is_gather;
 		route->timeout_us = kind->caller_timeout_us;
 		route->latency_objective_us = kind->objective_us;
-		route->max_attempts = 2;
+		route->max_attempts = get_max_attempts(world);
 		route->rank = kind->rank;
 		route->max_records = kind->records;
 		route->min_coverage = kind->min_coverage;
@@ -693,6 +719,8 @@
 	world->jobs = g_ptr_array_new_with_free_func(g_free);
 	world->services =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	world->ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	    (GDestroyNotify)g_hash_table_unref);
 	world->words =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	world->arrived =
@@ -738,6 +766,7 @@
 	g_hash_table_unref(world->arrived);
 	g_hash_table_unref(world->services);
 	g_hash_table_unref(world->words);
+	g_hash_table_unref(world->ran);
 	route_table_release(world->table);
 	gsl_rng_free(world->random);
 	g_free(world);
--- a/tests/support/tier_world.h
+++ b/tests/support/tier_world.h
@@ -46,6 +46,7 @@
 	bool is_count_unknown; /* the directory has no VM count */
 	bool has_returns;      /* refused callers retry once */
 	bool is_unrepeatable;  /* "/fetch/" is not idempotent */
+	int max_attempts;      /* of the routes; 0: the usual number */
 } tier_world_options_t;
 
 /** Results of one flow's callers. */
@@ -61,6 +62,7 @@
 	int runs_twice, refused_but_ran, sent_to_drained;
 	int sent_to_left;  /* by the caller later than the bound after the word
 			    */
+	int over_attempts; /* parts that ran at more leaves than allowed */
 	int sent_unwanted; /* in the time that a leaf asked for, less slack */
 	int max_connections;   /* open at one leaf, from all VMs */
 	double max_budget_use; /* of one window; 1: the whole budget */
--- a/tests/tier_load.c
+++ b/tests/tier_load.c
@@ -216,6 +216,17 @@
 		.fault_begin_us = 1000000,
 		.fault_end_us = RUN_US },
 	    { 0, 0, 0 }, 0 },
+	{ "leafs run requests and reset new connections, one attempt allowed",
+	    { .flows = FLOWS_ALL,
+		.flow_count = 3,
+		.has_pauses = true,
+		.max_attempts = 1,
+		.fault = FAULT_RESET,
+		.fault_share = 0.5,
+		.fault_shard = -1,
+		.fault_begin_us = 1000000,
+		.fault_end_us = RUN_US },
+	    { 0, 0, 0 }, 0 },
 	{ "requests that may not repeat, answers lost",
 	    { .flows = { { "/fetch/", 60, 0 } },
 		.flow_count = 1,
@@ -286,6 +297,8 @@
 	    totals->refused_but_ran);
 	errors += check(totals->sent_to_drained == 0, "sent to a drained leaf",
 	    totals->sent_to_drained);
+	errors += check(totals->over_attempts == 0,
+	    "ran at more leaves than attempts", totals->over_attempts);
 	errors += check(totals->sent_to_left == 0,
 	    "sent to a leaf that had left", totals->sent_to_left);
 	errors += check(totals->sent_unwanted == 0,
