--- a/src/leaf_notice.c
+++ b/src/leaf_notice.c
@@ -43,8 +43,12 @@
 void
 leaf_notices_destroy(leaf_notices_t *notices)
 {
-	while (!TAILQ_EMPTY(&notices->by_age))
-		remove_kept(notices, TAILQ_FIRST(&notices->by_age));
+	kept_notice_t *kept, *next;
+
+	for (kept = TAILQ_FIRST(&notices->by_age); kept != NULL; kept = next) {
+		next = TAILQ_NEXT(kept, by_age);
+		g_free(kept);
+	}
 	g_hash_table_unref(notices->by_id);
 	g_free(notices);
 }
--- a/src/pool.c
+++ b/src/pool.c
@@ -239,21 +239,33 @@
 	return connection;
 }
 
+/*
+ * Bytes of an earlier answer would be read as that of the next request. The
+ * loop closes such a connection when it reads them.
+ */
+static void
+retire_unread_connections(leaf_pool_t *leaf_pool)
+{
+	leaf_connection_t *connection;
+
+	LIST_FOREACH(connection, &leaf_pool->connections, in_pool)
+	if (connection->attempt == NULL && connection->is_open &&
+	    stream_has_unread(connection->stream))
+		connection->reuse_until_us = 0;
+}
+
 void
 pool_send(pool_t *pool, tier_attempt_t *attempt)
 {
 	int64_t now_us = attempt->sent_us;
 	leaf_pool_t *leaf_pool = find_leaf_pool(pool, attempt->leaf);
-	leaf_connection_t *connection = find_idle_connection(leaf_pool, now_us);
 	const http_message_t *request = pool->callbacks.get_request(
 	    pool->callbacks.context, attempt->caller);
+	leaf_connection_t *connection;
 
-	/* Bytes of an earlier answer would be read as that of this request. */
-	while (connection != NULL && !attempt->may_repeat &&
-	       connection->is_open && stream_has_unread(connection->stream)) {
-		destroy_connection(connection);
-		connection = find_idle_connection(leaf_pool, now_us);
-	}
+	if (!attempt->may_repeat)
+		retire_unread_connections(leaf_pool);
+	connection = find_idle_connection(leaf_pool, now_us);
 	if (connection == NULL)
 		connection = open_connection(leaf_pool, now_us);
 	if (connection == NULL) {
--- a/stand-ins/site_leafs.c
+++ b/stand-ins/site_leafs.c
@@ -155,7 +155,7 @@
 	leaf->busy--;
 	snprintf(headers, sizeof(headers),
 	    "%s%s%sPlantainarch-Server-Stamp: %s\r\n%s",
-	    has_no_id ? "" : "plantainarch-request-id: ", has_no_id ? "" : id,
+	    has_no_id ? "" : "Plantainarch-Request-Id: ", has_no_id ? "" : id,
 	    has_no_id ? "" : "\r\n", stamp, get_leaving_header(leaf, site));
 	if (begin_endless(link))
 		return;
