Pass on the last of several changes, and list when a follower needs it

Cause: a reader dropped the page of changes that it had just added if that alone was over 1 MB; its followers got 410, then 404 to their list, and the reader listed again up to 5 s later.

Evidence: the reader's log shows one watch with the changes of 0.45 s; the followers read nothing until its next list.

Fix: of several changes of one object the last is passed on, the newest page is kept, and a follower without a list makes its reader list at once (each second at most) or goes elsewhere after a second.

--- a/src/feed_journal.c
+++ b/src/feed_journal.c
@@ -139,9 +139,12 @@
 	page->body = g_string_new_len(body, (gssize)length);
 	TAILQ_INSERT_TAIL(&journal->changes, page, in_journal);
 	journal->change_bytes += length;
+	/* The newest page stays: followers that are up to date need it. */
 	for (page = TAILQ_FIRST(&journal->changes);
 	     journal->change_bytes > FEED_JOURNAL_BYTES_MAX; page = next) {
 		next = TAILQ_NEXT(page, in_journal);
+		if (next == NULL)
+			break;
 		journal->since_revision = page->to_revision;
 		remove_change(journal, page);
 	}
--- a/src/feed_journal.h
+++ b/src/feed_journal.h
@@ -7,7 +7,7 @@
 
 #include "plantainarch.h"
 
-/** Beyond it the oldest changes are dropped. */
+/** Beyond it the oldest changes are dropped, but never the newest page. */
 #define FEED_JOURNAL_BYTES_MAX 1048576
 
 typedef struct feed_journal feed_journal_t;
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -44,6 +44,7 @@
 	bool is_serving;
 	int64_t check_due_us;
 	feed_journal_t *journals[FEED_COUNT];
+	bool is_list_wanted[FEED_COUNT];
 	GString *scratch;
 };
 
@@ -114,6 +115,18 @@
 	return mirror->journals[feed];
 }
 
+bool
+mirror_is_list_wanted(const mirror_t *mirror, feed_t feed)
+{
+	return mirror->is_list_wanted[feed];
+}
+
+void
+mirror_clear_list_wanted(mirror_t *mirror, feed_t feed)
+{
+	mirror->is_list_wanted[feed] = false;
+}
+
 int
 mirror_count_followers(const mirror_t *mirror, int64_t now_us)
 {
@@ -188,9 +201,14 @@
 	    follower->mirror->journals[follower->call.feed],
 	    follower->call.last_name, &as_of_us);
 
-	if (body == NULL)
+	if (body == NULL) {
 		refuse(follower, 404);
-	else
+		if (!feed_journal_has_list(
+			follower->mirror->journals[follower->call.feed]))
+			follower->mirror->is_list_wanted[follower->call.feed] =
+			    true;
+		loop_wake(follower->mirror->loop);
+	} else
 		answer(follower, 200, as_of_us, body->str, body->len);
 }
 
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -22,6 +22,9 @@
 /** Owned by the mirror. Call mirror_notify() after changes. */
 feed_journal_t *mirror_get_journal(mirror_t *mirror, feed_t feed);
 void mirror_notify(mirror_t *mirror, feed_t feed);
+/** Whether a follower asked for a list that the journal does not have. */
+bool mirror_is_list_wanted(const mirror_t *mirror, feed_t feed);
+void mirror_clear_list_wanted(mirror_t *mirror, feed_t feed);
 /** While not serving, all calls are refused; the initial state. */
 void mirror_set_serving(mirror_t *mirror, bool is_serving);
 int mirror_count_followers(const mirror_t *mirror, int64_t now_us);
--- a/src/store_client.c
+++ b/src/store_client.c
@@ -29,6 +29,9 @@
 #define PUBLISH_DELAY_US      2000    /* batches changes that arrive together */
 #define WATCH_PAGE_EVENTS     100     /* a full page: more may follow */
 #define RELIST_INTERVAL_US    5000000
+#define RELIST_WANTED_US      1000000 /* if a follower needs the list */
+#define NO_LIST_PATIENCE_US   1000000 /* with a reader that has no list */
+#define COMPACT_MIN_BYTES     65536   /* smaller changes are kept as they are */
 #define READERS_INTERVAL_US   5000000 /* a follower lists them at its reader */
 #define FREEZE_MIN_US	      2000000 /* the loop turns at least once a second */
 #define SUSPEND_MIN_US	      500000
@@ -74,7 +77,8 @@
 	int64_t since_us;    /* of the changes in the answer being read */
 	int64_t revision, list_revision;
 	int64_t next_call_us, sent_us, timeout_us, backoff_us;
-	int64_t relist_due_us; /* not before */
+	int64_t relisted_us; /* the last list for the sake of followers */
+	int64_t no_list_us;  /* the reader has no list since; 0: it has */
 	char last_name[KEY_BYTES];
 	GHashTable *listed_names; /* names in the list in progress */
 	GArray *listed_readers;	  /* reader_entry_t, of FEED_READERS */
@@ -619,13 +623,26 @@
 is_relist_due(feed_state_t *feed, int64_t now_us)
 {
 	const store_client_t *client = feed->client;
+	int64_t interval_us = mirror_is_list_wanted(client->mirror, feed->feed)
+				  ? RELIST_WANTED_US
+				  : RELIST_INTERVAL_US;
+
+	return client->mode == VIEW_READING && feed->feed != FEED_READERS &&
+	       now_us >= feed->relisted_us + interval_us &&
+	       !feed_journal_has_list(
+		   mirror_get_journal(client->mirror, feed->feed));
+}
 
-	if (client->mode != VIEW_READING || now_us < feed->relist_due_us ||
-	    feed_journal_has_list(
-		mirror_get_journal(client->mirror, feed->feed)))
-		return false;
-	feed->relist_due_us = now_us + RELIST_INTERVAL_US;
-	return true;
+/* A follower without a list has no view: its reader does not wait for a change
+ * of its own. */
+static void
+interrupt_watch_for_list(feed_state_t *feed, int64_t now_us)
+{
+	if (feed->is_in_call && feed->is_to_store && feed->is_listed &&
+	    feed->step == STEP_WATCHING &&
+	    mirror_is_list_wanted(feed->client->mirror, feed->feed) &&
+	    is_relist_due(feed, now_us))
+		drop_call(feed, now_us, 0);
 }
 
 static void
@@ -639,8 +656,11 @@
 		feed->next_call_us = INT64_MAX; /* until there is a source */
 	else if (feed->is_listed && !is_relist_due(feed, now_us))
 		send_watch(feed);
-	else
+	else {
+		if (feed->is_listed)
+			feed->relisted_us = now_us;
 		send_list(feed, is_at_store(client), false);
+	}
 }
 
 /* The readers' feed: tasks at the store, and lists at the reader. */
@@ -753,6 +773,8 @@
 		as_of_us = feed->complete_us;
 	feed_journal_finish_list(
 	    journal, now_us, as_of_us, feed->list_revision, feed->is_listed);
+	mirror_clear_list_wanted(client->mirror, feed->feed);
+	feed->no_list_us = 0;
 	if (feed->feed == FEED_READERS) {
 		finish_readers(feed, now_us);
 		return;
@@ -811,15 +833,35 @@
 	schedule_call(feed, now_us, get_call_delay_us(feed));
 }
 
+/* Of several changes of one object, followers need the last. */
+static void
+add_to_journal(feed_state_t *feed, const feed_page_t *page, int64_t now_us)
+{
+	store_client_t *client = feed->client;
+	const GString *body = feed->message.body;
+	GString *compact = NULL;
+
+	if (client->mode == VIEW_READING && page->count > 1 &&
+	    body->len > COMPACT_MIN_BYTES) {
+		compact = g_string_new(NULL);
+		if (client->protocol->compact_events(
+			compact, body->str, body->len))
+			body = compact;
+	}
+	feed_journal_add_changes(mirror_get_journal(client->mirror, feed->feed),
+	    now_us, feed->since_us, page->revision, page->count, body->str,
+	    body->len);
+	if (compact != NULL)
+		g_string_free(compact, TRUE);
+}
+
 static void
 handle_changes(feed_state_t *feed, const feed_page_t *page, int64_t now_us)
 {
 	mirror_t *mirror = feed->client->mirror;
 
 	log_store_read(feed, false, page->revision, now_us);
-	feed_journal_add_changes(mirror_get_journal(mirror, feed->feed), now_us,
-	    feed->since_us, page->revision, page->count,
-	    feed->message.body->str, feed->message.body->len);
+	add_to_journal(feed, page, now_us);
 	feed->revision = MAX(feed->revision, page->revision);
 	set_complete(feed, feed->is_to_store && page->count < WATCH_PAGE_EVENTS
 			       ? MAX(feed->since_us, feed->sent_boot_us)
@@ -877,6 +919,21 @@
 	schedule_call(feed, now_us, 0);
 }
 
+/* The reader has listed again, or has to: its pages are others then. */
+static void
+handle_no_list(feed_state_t *feed, int64_t now_us)
+{
+	if (feed->no_list_us == 0)
+		feed->no_list_us = now_us;
+	if (now_us - feed->no_list_us > NO_LIST_PATIENCE_US) {
+		feed->no_list_us = 0;
+		fail_call(feed, "the reader has no list");
+		return;
+	}
+	http_message_reset(&feed->message);
+	schedule_call(feed, now_us, BACKOFF_MIN_US);
+}
+
 static void
 handle_answer(feed_state_t *feed)
 {
@@ -898,9 +955,7 @@
 		update_serving(feed->client);
 	} else if (status == 404 && feed->step == STEP_LISTING &&
 		   !feed->is_to_store) {
-		/* The reader has listed again: its pages are others now. */
-		http_message_reset(&feed->message);
-		schedule_call(feed, now_us, BACKOFF_MIN_US);
+		handle_no_list(feed, now_us);
 	} else if (is_written)
 		handle_write_answer(feed, status, now_us);
 	else if (status != 200) {
@@ -1000,6 +1055,7 @@
 			loop_wake(client->loop);
 		feed->is_overdue = true;
 	}
+	interrupt_watch_for_list(feed, now_us);
 	if (!feed->is_in_call && feed->feed == FEED_READERS)
 		begin_readers_step(feed, now_us);
 	else if (!feed->is_in_call && now_us >= feed->next_call_us)
--- a/src/tier_process.h
+++ b/src/tier_process.h
@@ -76,6 +76,9 @@
 	/* other VMs: the same lists and watches */
 	bool (*read_feed_call)(const char *target, feed_call_t *call);
 	void (*write_no_changes)(GString *body, int64_t revision);
+	/** Appends the page with the last change of each object alone; false:
+	 * it cannot be divided. */
+	bool (*compact_events)(GString *out, const char *body, size_t length);
 	bool (*read_list)(feed_t feed, const char *body, size_t length,
 	    const feed_sink_t *sink, feed_page_t *page, error_info_t *error);
 	bool (*read_events)(feed_t feed, const char *body, size_t length,
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -15,7 +15,8 @@
  * and at leafs that had asked for time GET  /drain-while-listed?id=ID   it
  * drains between two pages of a list GET
  * /entry?id=ID&state=S&service=N&address=A&zone=Z   a leaf elsewhere GET
- * /configuration?version=N&set=NAME&shards=N   the next configuration GET
+ * /configuration?version=N&set=NAME&shards=N&idle=N   the next
+ *                                  configuration, with unused routes GET
  * /churn?version=N            N changes of one leaf's entry
  */
 #include <argtable2.h>
@@ -181,9 +182,14 @@
 	char *set = site_get_query(target, "set");
 	char *shards = site_get_query(target, "shards");
 
+	char *idle = site_get_query(target, "idle");
+
+	if (idle != NULL)
+		site->idle_routes = atoi(idle);
 	site_store_put_configuration(site, version,
 	    set != NULL ? set : FIRST_SET,
 	    shards != NULL ? atoi(shards) : site->shards);
+	g_free(idle);
 	g_free(set);
 	g_free(shards);
 }
--- a/stand-ins/site.h
+++ b/stand-ins/site.h
@@ -66,7 +66,8 @@
 	int64_t revision, oldest;
 	char mode[16];
 	int shards, work_ms;
-	int page_items; /* of a list; 0: all on one page */
+	int idle_routes; /* of each configuration, that nobody uses */
+	int page_items;	 /* of a list; 0: all on one page */
 	/* Leaf that drains after the first page of the next list; "": none */
 	char drained_while_listed[64];
 	GHashTable *runs; /* request id + service -> count */
--- a/stand-ins/site_store.c
+++ b/stand-ins/site_store.c
@@ -423,6 +423,15 @@
 		    make_route("late", "/late/", "idempotent", TIMEOUT_MS, 0),
 		    set, 2);
 	add_own_route(routes, version, set);
+	for (int i = 0; i < site->idle_routes; i++) {
+		char prefix[80];
+
+		snprintf(name, sizeof(name), "idle-route-number-%d", i);
+		snprintf(prefix, sizeof(prefix), "/%s/", name);
+		add_route(routes,
+		    make_route(name, prefix, "idempotent", TIMEOUT_MS, 0), set,
+		    2);
+	}
 	spec = json_pack("{s:i,s:o,s:o,s:{s:i,s:i,s:i,s:i}}", "version",
 	    version, "routes", routes, "services", services, "limits",
 	    "max_header_bytes", 8192, "max_body_bytes", 65536,
--- a/tests/feed_journal.c
+++ b/tests/feed_journal.c
@@ -184,6 +184,35 @@
 	return is_good;
 }
 
+/* A page that alone is over the bound still reaches those who are up to date.
+ */
+static bool
+check_large_page(void)
+{
+	feed_journal_t *journal = feed_journal_create();
+	char *body = g_strnfill(FEED_JOURNAL_BYTES_MAX + 1, 'x');
+	const GString *found = NULL;
+	int64_t as_of_us;
+	bool is_good;
+
+	printf("a page over the bound\n");
+	feed_journal_add_list_page(journal, "", "list", 4);
+	feed_journal_finish_list(journal, 0, 0, 10, false);
+	feed_journal_add_changes(journal, 1, 1, 11, 1, "small", 5);
+	feed_journal_add_changes(journal, 2, 2, 12, 1, body, strlen(body));
+	is_good = feed_journal_find_changes(journal, 11, &found, &as_of_us) ==
+		      JOURNAL_CHANGED &&
+		  found->len == strlen(body) &&
+		  feed_journal_find_changes(journal, 10, &found, &as_of_us) ==
+		      JOURNAL_COMPACTED &&
+		  !feed_journal_has_list(journal);
+	feed_journal_destroy(journal);
+	g_free(body);
+	if (!is_good)
+		printf("  FAIL\n");
+	return is_good;
+}
+
 /*
  * A reader that learns late, or is asked late, must not make its followers
  * believe that a removal is recent: they would use the leaf for too long.
@@ -218,7 +247,8 @@
 int
 main(void)
 {
-	bool is_good = check_list_pages() & check_bound() & check_ages();
+	bool is_good = check_list_pages() & check_bound() & check_ages() &
+		       check_large_page();
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
 		is_good &= run_case(&cases[i]);
--- a/tests/odd_entries.c
+++ b/tests/odd_entries.c
@@ -233,6 +233,32 @@
 	return is_good;
 }
 
+/* Of several changes of one object the last stays, in the order of these. */
+static bool
+check_compaction(void)
+{
+	static const char text[] =
+	    "{ \"events\" : "
+	    "[{\"object\":{\"meta\":{\"name\":\"a\"},\"spec\":1}},"
+	    "{\"object\":{\"meta\":{\"name\":\"b\"},\"spec\":\"x,]\"}}, "
+	    "{\"object\":{\"meta\":{\"name\":\"a\"},\"spec\":1e999},"
+	    "\"deleted\":true}], \"current_rev\" : 9 }";
+	static const char wanted[] =
+	    "{\"events\":[{\"object\":{\"meta\":{\"name\":\"b\"},\"spec\":\"x,]"
+	    "\"}},"
+	    "{\"object\":{\"meta\":{\"name\":\"a\"},\"spec\":1e999},"
+	    "\"deleted\":true}],\"current_rev\":9}";
+	GString *out = g_string_new(NULL);
+	bool is_good = protocol_find("objects")->compact_events(
+			   out, text, sizeof(text) - 1) &&
+		       strcmp(out->str, wanted) == 0;
+
+	if (!is_good)
+		printf("FAIL compaction: %s\n", out->str);
+	g_string_free(out, TRUE);
+	return is_good;
+}
+
 /* ---- The other program's lists ---- */
 
 static const char vm_format[] =
@@ -370,7 +396,8 @@
 int
 main(void)
 {
-	bool is_good = check_removal() & check_other_program();
+	bool is_good =
+	    check_removal() & check_compaction() & check_other_program();
 
 	for (int feed = 0; feed < FEED_COUNT; feed++)
 		for (int place = 0; place < 3; place++)
