Soak: leafs that leave by their own word, ask for time and cut their heads

Leafs that are emptied say so in their answers first in four of ten cases, while their entry stays ready.

--- a/soak/check.c
+++ b/soak/check.c
@@ -14,6 +14,9 @@
 #define LEAFS_A_PART	8
 #define SERVED_COUNT	20 /* fewer requests tell nothing of a share */
 #define BUDGET_CHECK_US 500000
+#define ASKED_US	3000000 /* that leafs ask for */
+#define ASKED_SLACK_US	500000	/* requests may be on their way */
+#define ASKED_FEW	2	/* arrivals that are allowed all the same */
 
 typedef struct history_event {
 	int64_t time_us;
@@ -33,6 +36,12 @@
 	int64_t asked_us, acknowledged_us; /* INT64_MAX: not yet */
 } version_t;
 
+/* What a leaf said of itself to one VM. */
+typedef struct leaf_word {
+	int64_t leaving_us, asked_us; /* 0: it did not */
+	int unwanted; /* arrivals in the time that it asked for */
+} leaf_word_t;
+
 typedef struct vm_state {
 	int seen_version;
 	int64_t seen_us; /* when a caller first saw its effect */
@@ -66,6 +75,7 @@
 	GHashTable *versions;		/* number -> version_t */
 	GHashTable *vms;		/* name -> vm_state_t */
 	GHashTable *drained;		/* leaf -> int64_t */
+	GHashTable *words;		/* "vm leaf" -> leaf_word_t */
 	GHashTable *services;		/* name -> service_counts_t */
 	GHashTable *targets;		/* route -> names of its services */
 	int newest;			/* version asked for */
@@ -119,6 +129,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	check->drained =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	check->words =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	check->services = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, destroy_service);
 	check->targets = g_hash_table_new_full(
@@ -136,6 +148,7 @@
 	g_hash_table_unref(check->versions);
 	g_hash_table_unref(check->vms);
 	g_hash_table_unref(check->drained);
+	g_hash_table_unref(check->words);
 	g_hash_table_unref(check->services);
 	g_hash_table_unref(check->targets);
 	g_free(check);
@@ -466,6 +479,56 @@
 		    (double)(event->time_us - *since_us) / 1e6);
 }
 
+static leaf_word_t *
+find_word(check_t *check, const request_t *request, const char *leaf)
+{
+	char key[2 * NAME_BYTES];
+
+	snprintf(key, sizeof(key), "%s %s", request->vm, leaf);
+	return find_or_add(check->words, key, sizeof(leaf_word_t));
+}
+
+/* A VM keeps these also while it is not in touch with the store. */
+static void
+check_word(
+    check_t *check, const request_t *request, const history_event_t *event)
+{
+	leaf_word_t *word = find_word(check, request, event->words[2]);
+	const check_options_t *options = &check->options;
+	int64_t slack_us = options->slack_us;
+
+	if (!options->is_timed)
+		return;
+	if (word->leaving_us != 0 &&
+	    request->sent_us >
+		word->leaving_us + options->drain_us + slack_us &&
+	    is_calm(check, request->vm, word->leaving_us))
+		report(check, event->time_us, "DRAIN",
+		    "%s %s: reached %s that had said that it leaves",
+		    request->id, request->vm, event->words[2]);
+	if (word->asked_us != 0 &&
+	    event->time_us > word->asked_us + ASKED_SLACK_US + slack_us &&
+	    event->time_us < word->asked_us + ASKED_US &&
+	    is_calm(check, request->vm, word->asked_us) &&
+	    ++word->unwanted == ASKED_FEW + 1)
+		report(check, event->time_us, "BUDGET",
+		    "%s %s: %s had asked for time", request->id, request->vm,
+		    event->words[2]);
+}
+
+static void
+take_word(check_t *check, const request_t *request,
+    const history_event_t *event, bool is_leaving)
+{
+	leaf_word_t *word = find_word(check, request, event->words[2]);
+
+	if (!is_leaving) {
+		word->asked_us = event->time_us;
+		word->unwanted = 0;
+	} else if (word->leaving_us == 0)
+		word->leaving_us = event->time_us;
+}
+
 static void
 take_arrived(check_t *check, request_t *request, const history_event_t *event)
 {
@@ -473,6 +536,7 @@
 
 	note_arrival(check, request, event);
 	check_drained(check, request, event);
+	check_word(check, request, event);
 	if (options->is_timed && request->left_us != INT64_MAX &&
 	    event->time_us >
 		request->left_us + options->gone_us + options->slack_us &&
@@ -533,6 +597,8 @@
 		    event->words[2]);
 	else if (strcmp(name, "arrived") == 0)
 		take_arrived(check, request, event);
+	else if (strcmp(name, "leaves") == 0 || strcmp(name, "asks") == 0)
+		take_word(check, request, event, strcmp(name, "leaves") == 0);
 	else
 		take_ran(check, request, event);
 }
@@ -697,7 +763,8 @@
 	if (strcmp(name, "sent") == 0 && rest.count == 3)
 		take_sent(check, &rest);
 	else if (rest.count == 3 &&
-		 (strcmp(name, "arrived") == 0 || strcmp(name, "ran") == 0))
+		 (strcmp(name, "arrived") == 0 || strcmp(name, "ran") == 0 ||
+		     strcmp(name, "leaves") == 0 || strcmp(name, "asks") == 0))
 		take_leaf_event(check, &rest, name);
 	else if (strcmp(name, "answered") == 0 || strcmp(name, "cut") == 0 ||
 		 strcmp(name, "left") == 0 || strcmp(name, "wrong") == 0)
--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -403,6 +403,8 @@
 		start_slot(cluster, slot, generation);
 }
 
+static void tell_fault(cluster_t *cluster, int slot, int generation);
+
 static void
 end_drained(cluster_t *cluster, int slot, int generation)
 {
@@ -411,6 +413,8 @@
 	if (leaf->generation != generation)
 		return;
 	kill_leaf(leaf);
+	if (strcmp(leaf->fault, "leaving") == 0)
+		g_strlcpy(leaf->fault, "none", sizeof(leaf->fault));
 	put_off(cluster, REUSE_US, restart_slot, slot, generation);
 }
 
@@ -437,10 +441,31 @@
 	    end_drained, leaf->slot, leaf->generation);
 }
 
+static void
+drain_later(cluster_t *cluster, int slot, int generation)
+{
+	cluster_leaf_t *leaf = &cluster->leafs[slot];
+
+	if (leaf->generation == generation)
+		drain_slot(leaf, "draining");
+}
+
 void
-cluster_drain_leaf(cluster_t *cluster, int leaf, bool is_silent)
+cluster_drain_leaf(
+    cluster_t *cluster, int leaf, bool is_silent, bool says_leaving)
 {
-	drain_slot(find_leaf(cluster, leaf), is_silent ? "gone" : "draining");
+	cluster_leaf_t *own = find_leaf(cluster, leaf);
+
+	if (!says_leaving || own->child == NULL || own->is_leaving) {
+		drain_slot(own, is_silent ? "gone" : "draining");
+		return;
+	}
+	/* Its entry stays ready for longer than it wants requests. */
+	g_strlcpy(own->fault, "leaving", sizeof(own->fault));
+	own->share = 1;
+	tell_fault(cluster, own->slot, own->generation);
+	put_off(cluster, cluster->options.drain_us + DRAIN_SLACK_US,
+	    drain_later, own->slot, own->generation);
 }
 
 /* Both are killed; each address is later used by a leaf of the other shard. */
@@ -481,8 +506,6 @@
 	    cluster, is_trouble, "%s", find_leaf(cluster, leaf)->id);
 }
 
-static void tell_fault(cluster_t *cluster, int slot, int generation);
-
 /* A leaf that stands still takes it later. */
 static void
 handle_fault_told(void *context, uint64_t tag, const fetch_reply_t *reply)
@@ -503,9 +526,9 @@
 	if (leaf->child == NULL || leaf->generation != generation)
 		return;
 	snprintf(url, sizeof(url),
-	    "http://127.0.0.1:%d/fault?leaf=all&kind=%s&share=%.2f",
+	    "http://127.0.0.1:%d/fault?leaf=all&kind=%s&share=%.2f&value=%s",
 	    cluster->options.port + PORT_LEAF_CONTROL + slot, leaf->fault,
-	    leaf->share);
+	    leaf->share, strcmp(leaf->fault, "ask-time") == 0 ? "3" : "1");
 	fetch_send(cluster->faults, "GET", url, "", 0, FAULT_TIMEOUT_US,
 	    (uint64_t)slot << 32 | (uint32_t)generation, handle_fault_told,
 	    cluster);
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -12,6 +12,7 @@
 #define DELAY_MOST_US  400000
 #define HERD_SHARE     0.6 /* of the VMs, at least */
 #define SILENT_SHARE   0.3 /* of leafs that leave without saying so */
+#define LEAVING_SHARE  0.4 /* of those that say so in their answers first */
 
 static int
 pick_vm(const cluster_t *cluster, const soak_step_t *step)
@@ -181,8 +182,8 @@
 static void
 run_leaf_drain(cluster_t *cluster, const soak_step_t *step)
 {
-	cluster_drain_leaf(
-	    cluster, pick_leaf(cluster, step), step->value < SILENT_SHARE);
+	cluster_drain_leaf(cluster, pick_leaf(cluster, step),
+	    step->value<SILENT_SHARE, step->value> 1.0 - LEAVING_SHARE);
 }
 
 static void
@@ -198,7 +199,8 @@
 run_leaf_fault(cluster_t *cluster, const soak_step_t *step)
 {
 	static const char *const faults[] = { "dark", "reset", "cut", "garbage",
-		"extra", "error", "shed", "slow", "moved" };
+		"extra", "error", "shed", "slow", "moved", "ask-time",
+		"cut-head", "without-id-extra" };
 	const char *fault = faults[step->target % (int)G_N_ELEMENTS(faults)];
 
 	cluster_set_leaf_fault(cluster, pick_leaf(cluster, step),
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -49,6 +49,7 @@
  *   sent ID VM ROUTE | answered ID VM STATUS | cut ID VM | left ID VM
  *   wrong ID VM TEXT            a caller got what no leaf answered to it
  *   arrived ID SERVICE LEAF | ran ID SERVICE LEAF
+ *   leaves ID SERVICE LEAF | asks ID SERVICE LEAF     said in its answer
  *   asked VERSION | config VERSION      sent to the store, acknowledged
  *   targets ROUTE SERVICE,SERVICE       from then on
  *   drained LEAF                acknowledged by the store
@@ -173,7 +174,9 @@
     cluster_t *cluster, int leaf); /* its entry lapses later */
 void cluster_start_leaf(cluster_t *cluster, int leaf); /* a new lifetime */
 /** It leaves, and another comes. Silent: its entry just goes away. */
-void cluster_drain_leaf(cluster_t *cluster, int leaf, bool is_silent);
+/** says_leaving: in its answers, for a time in which its entry stays ready. */
+void cluster_drain_leaf(
+    cluster_t *cluster, int leaf, bool is_silent, bool says_leaving);
 void cluster_swap_leafs(cluster_t *cluster, int one, int other);
 void cluster_signal_leaf(cluster_t *cluster, int leaf, int number);
 void cluster_set_leaf_fault(
--- a/stand-ins/site_leafs.c
+++ b/stand-ins/site_leafs.c
@@ -53,8 +53,11 @@
 
 /* From the first such answer on the leaf wants nothing after some time. */
 static const char *
-get_leaving_header(site_leaf_t *leaf, site_t *site)
+get_leaving_header(const site_link_t *link)
 {
+	site_leaf_t *leaf = link->port->leaf;
+	site_t *site = link->port->site;
+
 	static char header[600];
 
 	header[0] = '\0';
@@ -63,6 +66,8 @@
 	if (leaf->left_us == 0 && strcmp(leaf->value, "1") == 0)
 		leaf->left_us = clock_get_us();
 	snprintf(header, sizeof(header), "SERVER-Leaving: %s\r\n", leaf->value);
+	tell(link, "leaves",
+	    http_get_header(&link->message, "Plantainarch-Request-Id"));
 	return header;
 }
 
@@ -84,6 +89,7 @@
 	    "Plantainarch-Request-Id: %s\r\nPlantainarch-Not-Executed: 1\r\n"
 	    "Retry-After: %s\r\n",
 	    id, leaf->value);
+	tell(link, "asks", id);
 	site_respond(link, 503, headers, "", 0);
 }
 
@@ -156,7 +162,7 @@
 	snprintf(headers, sizeof(headers),
 	    "%s%s%sPlantainarch-Server-Stamp: %s\r\n%s",
 	    has_no_id ? "" : "Plantainarch-Request-Id: ", has_no_id ? "" : id,
-	    has_no_id ? "" : "\r\n", stamp, get_leaving_header(leaf, site));
+	    has_no_id ? "" : "\r\n", stamp, get_leaving_header(link));
 	if (begin_endless(link))
 		return;
 	if (is_hit(leaf, site, "reset")) {
