serve: after a pause an unclaimed order may have run elsewhere

Cause: without a claim the first try of a key was taken for not run, whatever time had passed unseen.

Fix: a gap between two turns of the traffic loop is a pause; an order that was begun before its end and is not claimed is answered unknown.

--- a/src/core.c
+++ b/src/core.c
@@ -151,6 +151,13 @@
 	action->body = NULL;
 }
 
+void
+core_note_pause(core_t *core, int64_t now_us)
+{
+	core->now_us = MAX(core->now_us, now_us);
+	core->paused_us = core->now_us;
+}
+
 int64_t
 core_get_next_timer(const core_t *core)
 {
--- a/src/core_private.h
+++ b/src/core_private.h
@@ -274,6 +274,7 @@
 	gsl_rng *random;
 	fleet_t *fleet;
 	int64_t now_us;
+	int64_t paused_us; /* end of the last pause of this process; 0: none */
 	GQueue actions;
 	GQueue results;	   /* pending_result_t: from this thread's own relay */
 	GSequence *timers; /* core_timer_t, by due time */
--- a/src/order.c
+++ b/src/order.c
@@ -268,6 +268,17 @@
 		core_send_to_peer(core, relay->endpoint, wire_encode_run(&run));
 }
 
+/*
+ * Without a claim it is not known whether another VM has run the key: an
+ * earlier try, or, while this process was paused, the same one.
+ */
+static bool
+may_have_run_elsewhere(const core_t *core, const order_t *order)
+{
+	return order->is_repeat ||
+	       (core->paused_us != 0 && core->paused_us >= order->started_us);
+}
+
 /* Answers an order that was certainly not run, and records that if it was
  * claimed. */
 static void
@@ -278,8 +289,7 @@
 		record_order(core, order, false, "", 0);
 	if (order->is_answered)
 		return;
-	/* Without a claim the outcome of earlier tries is unknown. */
-	if (order->is_repeat && !is_claimed)
+	if (!is_claimed && may_have_run_elsewhere(core, order))
 		answer_order(
 		    core, order, 409, "unknown", reason, NULL, 0, false);
 	else
--- a/src/plantainarch.h
+++ b/src/plantainarch.h
@@ -587,6 +587,8 @@
 bool core_take_action(
     core_t *core, action_t *action); /* false: none left; clear it after use */
 void action_clear(action_t *action); /* frees the body */
+/** This process has not run for some time: others may have acted meanwhile. */
+void core_note_pause(core_t *core, int64_t now_us);
 int64_t core_get_next_timer(
     const core_t *core); /* INT64_MAX when none is set */
 void core_get_status(const core_t *core, core_status_t *status);
--- a/src/traffic.c
+++ b/src/traffic.c
@@ -11,6 +11,7 @@
 #include "traffic.h"
 
 #define STATUS_PERIOD_US 300000
+#define PAUSE_MIN_US	 600000 /* the loop turns once in STATUS_PERIOD_US */
 #define FINISH_LINGER_US 200000 /* without a request, before the stop */
 #define FINISH_CHECK_US	 20000
 
@@ -27,7 +28,8 @@
 	char
 	    *status; /* VM status as JSON, as last sent by the control thread */
 	int64_t next_status_us;
-	int64_t busy_us; /* while finishing: last time with a request */
+	int64_t turned_boot_us; /* last turn of the loop */
+	int64_t busy_us;	/* while finishing: last time with a request */
 	int64_t peer_bytes;
 };
 
@@ -138,12 +140,25 @@
 	handle_event(context, &event);
 }
 
+/* The boot clock also shows a suspension of the machine. */
+static void
+detect_pause(traffic_t *traffic)
+{
+	int64_t boot_us = clock_get_boot_us();
+
+	if (traffic->turned_boot_us != 0 &&
+	    boot_us - traffic->turned_boot_us > PAUSE_MIN_US)
+		core_note_pause(traffic->core, clock_get_us());
+	traffic->turned_boot_us = boot_us;
+}
+
 static void
 handle_inbox(void *context, int fd, uint32_t events)
 {
 	traffic_t *traffic = context;
 	thread_message_t *message;
 
+	detect_pause(traffic);
 	mailbox_clear_fd(traffic->inbox);
 	while ((message = mailbox_receive(traffic->inbox)) != NULL) {
 		handle_thread_message(traffic, message);
@@ -272,6 +287,7 @@
 	int64_t now_us = clock_get_us();
 	event_t tick = { .type = EVENT_TICK };
 
+	detect_pause(traffic);
 	if (core_get_next_timer(traffic->core) <= now_us)
 		handle_event(traffic, &tick);
 	if (now_us >= traffic->next_status_us)
