--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -5,19 +5,23 @@
  * only the store, or only one leaf.
  *
  * GET  /stats                      what ran, and what broke a promise
- * GET  /fault?leaf=ID&kind=K&share=S&value=V   K: none dark reset cut cut-head
- * garbage leaving ask-time without-id without-id-extra extra error shed slow
- * moved; leaf=all for all GET  /store?mode=M               M: up down silent
- * busy slow lost compact cut GET  /leaf?id=ID&state=S         S: ready draining
- * gone bad POST /raw?kind=K&id=ID            an object whose spec is the body,
- * as it is GET  /turn-away?vm=N&state=S     the store's port of this VM; S: on
- * off GET  /late?ms=N                  arrivals at leafs that left N ms before,
- * and at leafs that had asked for time GET  /drain-while-listed?id=ID   it
- * drains between two pages of a list GET
- * /entry?id=ID&state=S&service=N&address=A&zone=Z   a leaf elsewhere GET
- * /configuration?version=N&set=NAME&shards=N&idle=N   the next
- *                                  configuration, with unused routes GET
- * /churn?version=N            N changes of one leaf's entry
+ * GET  /fault?leaf=ID&kind=K       leaf=all for all; &share=S of the answers;
+ *                                  &value=V of the header that K is about
+ *      K: none dark reset cut cut-head garbage extra error shed slow moved
+ *      K: leaving ask-time without-id without-id-extra endless-*
+ * GET  /store?mode=M               M: up down silent busy slow lost compact
+ *                                  cut endless-*
+ * GET  /leaf?id=ID&state=S         S: ready draining gone bad
+ * POST /raw?kind=K&id=ID           an object whose spec is the body, as it is
+ * GET  /turn-away?vm=N&state=S     the store's port of this VM; S: on off
+ * GET  /late?ms=N                  arrivals at leafs that left N ms before,
+ *                                  and at leafs that had asked for time
+ * GET  /drain-while-listed?id=ID   it drains between two pages of a list
+ * GET  /entry?id=ID&state=S        a leaf elsewhere; &service=N, &address=A
+ *                                  and &zone=Z
+ * GET  /configuration?version=N    the next one; &set=NAME, &shards=N, and
+ *                                  &idle=N for routes that nobody uses
+ * GET  /churn?version=N            N changes of one leaf's entry
  */
 #include <argtable2.h>
 #include <stdio.h>
--- a/stand-ins/site.h
+++ b/stand-ins/site.h
@@ -107,6 +107,8 @@
     const char *address, const char *zone);
 site_leaf_t *site_leafs_find(const site_t *site, const char *id);
 void site_leafs_handle(site_link_t *link);
+/** Begins what the fault says, of any port; false: it is another fault. */
+bool site_leafs_begin_endless(site_link_t *link, const char *fault);
 void site_leafs_continue_endless(site_link_t *link);
 void site_leafs_finish(site_link_t *link); /* its work is done */
 void site_leafs_start_queued(site_leaf_t *leaf);
--- a/stand-ins/site_leafs.c
+++ b/stand-ins/site_leafs.c
@@ -128,13 +128,13 @@
 	g_string_free(text, TRUE);
 }
 
-static bool
-begin_endless(site_link_t *link)
+bool
+site_leafs_begin_endless(site_link_t *link, const char *fault)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(endless_faults); i++) {
 		const struct endless *endless = &endless_faults[i];
 
-		if (!is_hit(link->port->leaf, link->port->site, endless->fault))
+		if (strcmp(endless->fault, fault) != 0)
 			continue;
 		link->endless = endless->repeated;
 		stream_write(
@@ -163,7 +163,8 @@
 	    "%s%s%sPlantainarch-Server-Stamp: %s\r\n%s",
 	    has_no_id ? "" : "Plantainarch-Request-Id: ", has_no_id ? "" : id,
 	    has_no_id ? "" : "\r\n", stamp, get_leaving_header(link));
-	if (begin_endless(link))
+	if (is_hit(leaf, site, leaf->fault) &&
+	    site_leafs_begin_endless(link, leaf->fault))
 		return;
 	if (is_hit(leaf, site, "reset")) {
 		site_destroy_link(link);
--- a/stand-ins/site_store.c
+++ b/stand-ins/site_store.c
@@ -322,6 +322,8 @@
 
 	if (strcmp(site->mode, "silent") == 0 || link->port->is_turned_away)
 		return;
+	if (site_leafs_begin_endless(link, site->mode))
+		return;
 	if (strcmp(site->mode, "busy") == 0)
 		site_respond(link, 503, "", "", 0);
 	else if (!g_str_has_prefix(
