Answer 502 where a leaf ran the request and failed it with 503, 429 or 408

What callers saw: a grey leaf ran an order and answered 503 without Plantainarch-Not-Executed.

Cause: each failure with the leaf's stamp was returned as it is. What its status promises was not compared with what the tier knows: that the leaf may have run the request. Only the tier's own answers were (update_may_have_run()).

Orders get 502, searches are tried at another leaf first. The other statuses are returned unchanged.

--- a/src/part.c
+++ b/src/part.c
@@ -629,6 +629,18 @@
 	return true;
 }
 
+/*
+ * Whether the caller may get the leaf's failure as it is. A status that
+ * promises "not run" must not come from a leaf that ran the request.
+ */
+static bool
+can_forward_failure(const tier_request_t *request, const leaf_answer_t *answer)
+{
+	return !request->route->is_gather &&
+	       answer->outcome == OUTCOME_LEAF_FAILED &&
+	       !answer->promises_not_run;
+}
+
 /* Handles a failed attempt: retries at another leaf or fails the part. */
 static part_result_t
 retry_part(tier_part_t *part, const tier_leaf_t *leaf, int64_t now_us,
@@ -666,8 +678,7 @@
 				return PART_RESULT_PENDING;
 		}
 	}
-	if (!request->route->is_gather &&
-	    answer->outcome == OUTCOME_LEAF_FAILED)
+	if (can_forward_failure(request, answer))
 		return PART_RESULT_FORWARD;
 	part_fail(part);
 	return PART_RESULT_FAILED;
@@ -708,8 +719,6 @@
 {
 	tier_part_t *part = attempt->part;
 	leaf_answer_t answer = *reported;
-	bool is_final =
-	    reported->outcome == OUTCOME_LEAF_FAILED && reported->status < 500;
 	part_result_t result = PART_RESULT_PENDING;
 
 	answer.outcome = get_outcome(attempt, now_us, reported->outcome);
@@ -722,8 +731,10 @@
 		if (answer.outcome == OUTCOME_ANSWERED) {
 			part->state = PART_DONE;
 			result = PART_RESULT_DONE;
-		} else if (is_final && !part->request->route->is_gather)
-			result = PART_RESULT_FORWARD;
+		} else if (answer.status < 500 &&
+			   can_forward_failure(part->request, &answer))
+			result =
+			    PART_RESULT_FORWARD; /* of the request itself */
 		else
 			result =
 			    retry_part(part, attempt->leaf, now_us, &answer);
--- a/src/tier.h
+++ b/src/tier.h
@@ -228,7 +228,8 @@
 typedef struct leaf_answer {
 	attempt_outcome_t outcome;
 	int status;
-	const char *stamp; /* ANSWERED, LEAF_FAILED; NULL if absent */
+	bool promises_not_run; /* to a caller, its status says: not run */
+	const char *stamp;     /* ANSWERED, LEAF_FAILED; NULL if absent */
 	const char *body;
 	size_t body_length;
 	void *message; /* returned in ANSWER_LEAF */
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -9,6 +9,7 @@
  *                                  &value=V of the header that K is about
  *      K: none dark reset cut cut-head garbage extra error shed slow moved
  *      K: leaving ask-time without-id without-id-extra endless-*
+ *      K: status, after it ran the request; V is the status
  * GET  /store?mode=M               M: up down silent busy slow lost compact
  *                                  cut endless-*
  * GET  /leaf?id=ID&state=S         S: ready draining gone bad
--- a/stand-ins/site_leafs.c
+++ b/stand-ins/site_leafs.c
@@ -197,6 +197,15 @@
 		site_destroy_link(link);
 		return;
 	}
+	if (is_hit(leaf, site, "status")) {
+		snprintf(extra, sizeof(extra),
+		    "HTTP/1.1 %s Failed\r\n%sContent-Length: 6\r\n\r\nfailed",
+		    leaf->value, headers);
+		stream_write(link->stream, extra, strlen(extra));
+		link->is_ended = true;
+		loop_wake(site->loop);
+		return;
+	}
 	if (is_hit(leaf, site, "error")) {
 		site_respond(link, 500, headers, "failed", 6);
 		return;
--- a/tests/support/tier_world.c
+++ b/tests/support/tier_world.c
@@ -81,7 +81,7 @@
 	int64_t network_delay_us;
 	int flow;
 	attempt_outcome_t outcome;
-	bool says_leaving, asks_time;
+	bool says_leaving, asks_time, denies_run;
 };
 
 /** What a VM has heard from a leaf. */
@@ -240,6 +240,8 @@
 	if (is_faulty && world->options.fault == FAULT_SLOW)
 		work *= 8;
 	job->outcome = OUTCOME_ANSWERED;
+	job->denies_run =
+	    is_faulty && world->options.fault == FAULT_DENY_RUN && draw < 0.4;
 	if (is_faulty && world->options.fault == FAULT_ERROR && draw < 0.4)
 		job->outcome = OUTCOME_LEAF_FAILED;
 	if (is_faulty && world->options.fault == FAULT_MUTE && draw < 0.4)
@@ -249,6 +251,8 @@
 	if (is_faulty && world->options.fault == FAULT_RESET && draw < 0.3)
 		job->outcome =
 		    OUTCOME_CONNECTION_LIMIT; /* on a new connection */
+	if (job->denies_run)
+		job->outcome = OUTCOME_LEAF_FAILED;
 	record_run(world, job);
 	leaf->busy++;
 	job->call->runs++;
@@ -398,7 +402,10 @@
 {
 	char stamp[48], body[64];
 	leaf_answer_t answer = { .outcome = job->outcome,
-		.status = job->outcome == OUTCOME_ANSWERED ? 200 : 500,
+		.status = job->outcome == OUTCOME_ANSWERED ? 200
+			  : job->denies_run		   ? 503
+							   : 500,
+		.promises_not_run = job->denies_run,
 		.stamp = stamp,
 		.body = body,
 		.body_length = 64,
@@ -531,7 +538,7 @@
 	call->is_answered = true;
 	call->status = answer->type == ANSWER_STATUS ? answer->status : 200;
 	if (answer->type == ANSWER_LEAF && answer->status >= 500)
-		call->status = 500;
+		call->status = answer->status;
 	if (call->status == 503) {
 		result->refused++;
 		world->refuse_us += (double)took_us;
--- a/tests/support/tier_world.h
+++ b/tests/support/tier_world.h
@@ -18,6 +18,8 @@
 	FAULT_SLOW,	    /* eight times the work */
 	FAULT_SHED,	/* refuses 45 of 100 requests without running them */
 	FAULT_ERROR,	/* fails 40 of 100 requests */
+	FAULT_DENY_RUN, /* runs them, fails 40 of 100 with a status that
+			   promises that they have not run */
 	FAULT_MUTE,	/* runs the request, 40 of 100 answers are lost */
 	FAULT_RESET,	/* runs it, and resets 30 of 100 new connections */
 	FAULT_LOSE,	/* runs the request, 8 of 100 answers are lost */
