Compare the whole request id of a leaf's answer

Cause: the pool copied the id into 128 bytes and compared those. A connection that took one copy stayed one answer behind for all later callers.

Fix: the connection keeps the whole id, whose length the caller's header limit bounds, and compares for equality.

--- a/src/pool.c
+++ b/src/pool.c
@@ -29,7 +29,7 @@
 	stream_t *stream;
 	http_message_t message;
 	tier_attempt_t *attempt; /* NULL: idle */
-	char id[KEY_BYTES];	 /* of the request in flight */
+	GString *id;		 /* of the request in flight, whole */
 	int64_t opened_us;	 /* start of the connect until is_open */
 	int64_t reuse_until_us, idle_since_us;
 	size_t buffered_bytes;	  /* of the answer in progress */
@@ -104,6 +104,7 @@
 	LIST_REMOVE(connection, in_pool);
 	stream_destroy(connection->stream);
 	http_message_end(&connection->message);
+	g_string_free(connection->id, TRUE);
 	g_free(connection);
 }
 
@@ -232,6 +233,7 @@
 	}
 	http_message_begin(&connection->message, false, ANSWER_HEAD_BYTES_MAX,
 	    ANSWER_BODY_BYTES_MAX);
+	connection->id = g_string_new(NULL);
 	LIST_INSERT_HEAD(&leaf_pool->connections, connection, in_pool);
 	leaf_pool->pool->connecting_count++;
 	leaf_pool->leaf->connection_count++;
@@ -275,7 +277,7 @@
 	}
 	connection->attempt = attempt;
 	attempt->connection = connection;
-	g_strlcpy(connection->id, attempt->info->id, sizeof(connection->id));
+	g_string_assign(connection->id, attempt->info->id);
 	connection->message.is_without_body =
 	    request->parser.method == HTTP_HEAD;
 	g_string_truncate(pool->scratch, 0);
@@ -365,7 +367,7 @@
 	char plain_id[KEY_BYTES];
 
 	metric_add(METRIC_TIER_ANSWERS_WITHOUT_ID, 1);
-	log_copy_plain(plain_id, sizeof(plain_id), connection->id);
+	log_copy_plain(plain_id, sizeof(plain_id), connection->id->str);
 	log_fields(LOG_TIER_ANSWER_WITHOUT_ID,
 	    "\"id\":\"%s\",\"leaf\":\"%s\",\"service\":\"%s\",\"status\":%d",
 	    plain_id, leaf->entry.id, leaf->entry.service, status);
@@ -408,7 +410,7 @@
 	    &connection->message, answer, &id);
 	if (id == NULL)
 		return take_answer_without_id(connection, answer);
-	if (strncmp(id, connection->id, sizeof(connection->id) - 1) == 0)
+	if (strcmp(id, connection->id->str) == 0)
 		return true;
 	metric_add(METRIC_REPLIES_DROPPED, 1);
 	connection->must_close = true;
@@ -422,7 +424,7 @@
 	const tier_leaf_t *leaf = connection->attempt->leaf;
 	char plain_id[KEY_BYTES];
 
-	log_copy_plain(plain_id, sizeof(plain_id), connection->id);
+	log_copy_plain(plain_id, sizeof(plain_id), connection->id->str);
 	log_fields(LOG_TIER_ENDLESS_ANSWER,
 	    "\"leaf\":\"%s\",\"service\":\"%s\",\"id\":\"%s\","
 	    "\"bytes\":%" G_GSIZE_FORMAT ",\"all_bytes\":%" G_GSIZE_FORMAT
--- a/stand-ins/caller.c
+++ b/stand-ins/caller.c
@@ -29,7 +29,7 @@
 	caller_t *caller;
 	stream_t *stream;
 	http_message_t message;
-	char id[32];
+	char *id;
 	bool is_busy;
 	int target;
 	int64_t due_us;
@@ -306,8 +306,8 @@
 	caller_t *caller = link->caller;
 	GString *out = g_string_new(NULL);
 
-	snprintf(
-	    link->id, sizeof(link->id), "%s-%d", caller->name, caller->sent++);
+	g_free(link->id);
+	link->id = g_strdup_printf("%s-%d", caller->name, caller->sent++);
 	link->is_busy = true;
 	link->due_us = clock_get_us() + PATIENCE_MS * 1000L;
 	link->leave_us = INT64_MAX;
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -8,7 +8,7 @@
  * GET  /fault?leaf=ID&kind=K       leaf=all for all; &share=S of the answers;
  *                                  &value=V of the header that K is about
  *      K: none dark reset cut cut-head garbage extra error shed slow moved
- *      K: leaving ask-time without-id without-id-extra endless-*
+ *      K: leaving ask-time without-id without-id-extra late-copy endless-*
  *      K: status, after it ran the request; V is the status
  * GET  /store?mode=M               M: up down silent busy slow lost compact
  *                                  cut endless-*
@@ -93,6 +93,8 @@
 	stream_destroy(link->stream);
 	http_message_end(&link->message);
 	g_string_free(link->backlog, TRUE);
+	if (link->late_extra != NULL)
+		g_string_free(link->late_extra, TRUE);
 	g_free(link->kind);
 	g_free(link);
 }
--- a/stand-ins/site.h
+++ b/stand-ins/site.h
@@ -47,7 +47,7 @@
 	int64_t watch_revision; /* -1: no watch */
 	char *kind;		/* of the watch */
 	bool is_running, is_queued, is_ended, is_delayed;
-	bool has_late_extra; /* sent when the next request arrives */
+	GString *late_extra; /* sent when the next request arrives; or NULL */
 	const char *endless; /* sent again and again until the VM closes */
 	GString *backlog;
 } site_link_t;
--- a/stand-ins/site_leafs.c
+++ b/stand-ins/site_leafs.c
@@ -151,7 +151,7 @@
 	site_t *site = link->port->site;
 	const char *id =
 	    http_get_header(&link->message, "Plantainarch-Request-Id");
-	char headers[1024], extra[2048], stamp[256];
+	char headers[4096], extra[8192], stamp[2048]; /* ids may be long */
 	bool has_no_id = is_hit(leaf, site, "without-id");
 	char body[PART_BODY_BYTES];
 
@@ -211,9 +211,15 @@
 		return;
 	}
 	site_respond(link, 200, headers, body, sizeof(body));
-	/* It comes when the next request has arrived. */
 	if (is_hit(leaf, site, "without-id-extra"))
-		link->has_late_extra = true;
+		link->late_extra = g_string_new(EXTRA_REFUSAL);
+	if (is_hit(leaf, site, "late-copy")) {
+		link->late_extra = g_string_new(NULL);
+		g_string_printf(link->late_extra,
+		    "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n", headers,
+		    PART_BODY_BYTES);
+		g_string_append_len(link->late_extra, body, PART_BODY_BYTES);
+	}
 	/* The extra answer stands where the next one is expected. */
 	if (is_hit(leaf, site, "extra")) {
 		snprintf(extra, sizeof(extra),
@@ -280,10 +286,12 @@
 		return;
 	}
 	tell(link, "arrived", id);
-	if (link->has_late_extra)
+	if (link->late_extra != NULL) {
 		stream_write(
-		    link->stream, EXTRA_REFUSAL, sizeof(EXTRA_REFUSAL) - 1);
-	link->has_late_extra = false;
+		    link->stream, link->late_extra->str, link->late_extra->len);
+		g_string_free(link->late_extra, TRUE);
+		link->late_extra = NULL;
+	}
 	if (leaf->is_draining)
 		leaf->arrivals_drained++;
 	if (leaf->left_us != 0) {
