Drop white space behind header values

What callers saw: 504 for each request whose id was followed by a space or tab.

Cause: the parser keeps white space behind a value. The pool compared the id with the leaf's echo, which ends without it, and dropped the answer as another request's.

Fix: values end before the white space, as RFC 9110 (5.5) has it.

Tests: tests/http_framing (85 of 1,904 split messages wrong before), and the last request of tests/cases/tier_long_ids.sh (504 before).

--- a/src/http.c
+++ b/src/http.c
@@ -234,11 +234,26 @@
 	return 0;
 }
 
-/* Terminates the current string in the text. */
+/*
+ * Terminates the current string in the text. White space behind a value is no
+ * part of it (RFC 9110, 5.5).
+ */
 static void
 terminate_string(http_message_t *message)
 {
-	g_string_append_c(message->text, '\0');
+	GString *text = message->text;
+
+	if (message->is_value_open) {
+		guint begin = g_array_index(
+		    message->headers, http_header_t, message->headers->len - 1)
+				  .value;
+
+		while (
+		    text->len > begin && (text->str[text->len - 1] == ' ' ||
+					     text->str[text->len - 1] == '\t'))
+			g_string_truncate(text, text->len - 1);
+	}
+	g_string_append_c(text, '\0');
 }
 
 static int
--- a/tests/cases/tier_long_ids.sh
+++ b/tests/cases/tier_long_ids.sh
@@ -11,3 +11,5 @@
 	tier_control '/fault?leaf=all&kind=none' >/dev/null
 done
 [ "$(tier_metric 1 replies_dropped_total)" -gt 0 ] && echo "copies were dropped"
+echo "== an id with white space behind it, which the leaf's echo has not"
+tier_raw 'GET /fetch/x HTTP/1.1\r\nHost: site.example\r\nPlantainarch-Deadline-Ms: 1000\r\nPlantainarch-Request-Id: padded \t\r\n\r\n'
