Take a response whose status HTTP does not have for a lost answer

Cause: the parser takes any number up to 999. Below 200 the pool took the answer for an interim one and waited for the final one.

Fix: responses with a status outside of 100 to 599 are invalid (RFC 9110, 15) for leafs, the store and peers alike. LOG_TIER_ATTEMPT_FAILED gets a field that says why an answer was lost.

--- a/src/http.c
+++ b/src/http.c
@@ -10,6 +10,8 @@
 #define HEADERS_MAX		  100 /* in one message */
 #define START_LINE_OVERHEAD_BYTES 14  /* method, version and spaces */
 #define HEADER_OVERHEAD_BYTES	  2 /* ": " and CRLF, less the two NULs kept */
+#define STATUS_MIN		  100 /* RFC 9110, 15: others are invalid */
+#define STATUS_MAX		  599
 
 static int on_target(http_parser *parser, const char *data, size_t length);
 static int on_name(http_parser *parser, const char *data, size_t length);
@@ -132,6 +134,20 @@
 	return message->is_complete ? HTTP_COMPLETE : HTTP_INVALID;
 }
 
+const char *
+http_message_get_problem(const http_message_t *message)
+{
+	if (message->is_head_over_limit)
+		return "the head is too large";
+	if (message->is_body_over_limit)
+		return "the body is too large";
+	if (message->is_status_invalid)
+		return "its status is not one of HTTP";
+	if (message->parser.http_errno != HPE_OK)
+		return http_errno_description(message->parser.http_errno);
+	return "the message is cut short";
+}
+
 const char *
 http_get_next_header(
     const http_message_t *message, const char *name, guint *position)
@@ -324,6 +340,12 @@
 	message->expects_value = false;
 	message->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
 	message->is_persistent = http_should_keep_alive(parser) != 0;
+	if (parser->type == HTTP_RESPONSE &&
+	    (parser->status_code < STATUS_MIN ||
+		parser->status_code > STATUS_MAX)) {
+		message->is_status_invalid = true;
+		return -1;
+	}
 	if (is_head_too_large(message)) {
 		message->is_head_over_limit = true;
 		return -1;
--- a/src/http.h
+++ b/src/http.h
@@ -40,8 +40,9 @@
 	bool is_without_body; /* a response to HEAD */
 	bool is_complete;
 	bool is_head_over_limit, is_body_over_limit;
-	bool is_persistent; /* the connection can be reused */
-	bool is_value_open; /* the parser is inside a header value */
+	bool is_status_invalid; /* responses: not 100 to 599 */
+	bool is_persistent;	/* the connection can be reused */
+	bool is_value_open;	/* the parser is inside a header value */
 	const char *input, *input_end, *value_end; /* detect folded values */
 	bool is_value_split; /* the previous input ended inside a value */
 	bool expects_value;  /* a name was parsed; its value follows */
@@ -57,6 +58,8 @@
     http_message_t *message, const char *data, size_t length, size_t *consumed);
 /** Call at end of stream, which ends a body without a length. */
 http_state_t http_message_finish(http_message_t *message);
+/** Why the message is HTTP_INVALID; plain text for the log. */
+const char *http_message_get_problem(const http_message_t *message);
 const char *http_get_header(
     const http_message_t *message, const char *name); /* NULL if absent */
 /** Each occurrence in turn; *position begins with 0. NULL: no further one. */
--- a/src/part.c
+++ b/src/part.c
@@ -487,11 +487,13 @@
 		return;
 	snprintf(text, sizeof(text),
 	    "\"id\":\"%s\",\"leaf\":\"%s\",\"service\":\"%s\","
-	    "\"outcome\":\"%s\",\"status\":%d,\"took_us\":%" G_GINT64_FORMAT
+	    "\"outcome\":\"%s\",\"why\":\"%s\",\"status\":%d,"
+	    "\"took_us\":%" G_GINT64_FORMAT
 	    ",\"failures\":%.2f,\"down_us\":%" G_GINT64_FORMAT,
 	    attempt->part != NULL ? attempt->part->request->log_id : "",
 	    leaf->entry.id, leaf->entry.service,
-	    outcome_get_name(answer->outcome), answer->status,
+	    outcome_get_name(answer->outcome),
+	    answer->why != NULL ? answer->why : "", answer->status,
 	    now_us - attempt->sent_us, leaf->stats.failure_rate,
 	    MAX(leaf->stats.down_until_us - now_us, 0));
 	tier->callbacks.log(
--- a/src/pool.c
+++ b/src/pool.c
@@ -177,10 +177,12 @@
 	destroy_if_unused(leaf_pool);
 }
 
+/* `why` is NULL where the outcome says all. */
 static void
-fail_attempt(leaf_connection_t *connection, attempt_outcome_t outcome)
+fail_attempt(
+    leaf_connection_t *connection, attempt_outcome_t outcome, const char *why)
 {
-	leaf_answer_t answer = { .outcome = outcome };
+	leaf_answer_t answer = { .outcome = outcome, .why = why };
 
 	finish_attempt(connection, &answer, false);
 }
@@ -386,7 +388,8 @@
 	log_answer_without_id(connection, answer->status);
 	connection->must_close = true;
 	if (!connection->has_answered) {
-		*answer = (leaf_answer_t){ .outcome = OUTCOME_CONNECTION_LOST };
+		*answer = (leaf_answer_t){ .outcome = OUTCOME_CONNECTION_LOST,
+			.why = "it names no request" };
 		return true;
 	}
 	metric_add(METRIC_REPLIES_DROPPED, 1);
@@ -432,7 +435,7 @@
 	    leaf->entry.id, leaf->entry.service, plain_id,
 	    connection->message.body->len,
 	    connection->leaf_pool->pool->buffered_bytes, why);
-	fail_attempt(connection, OUTCOME_CONNECTION_LOST);
+	fail_attempt(connection, OUTCOME_CONNECTION_LOST, why);
 }
 
 /* Whether the answer in progress may grow further. */
@@ -478,8 +481,10 @@
 				fail_endless(
 				    connection, "the answer is too large");
 			else
-				fail_attempt(
-				    connection, OUTCOME_CONNECTION_LOST);
+				fail_attempt(connection,
+				    OUTCOME_CONNECTION_LOST,
+				    http_message_get_problem(
+					&connection->message));
 			return;
 		}
 		data += used;
@@ -514,15 +519,16 @@
 		destroy_connection(connection);
 		destroy_if_unused(leaf_pool);
 	} else if (!connection->is_open)
-		fail_attempt(connection, OUTCOME_UNSENT);
+		fail_attempt(connection, OUTCOME_UNSENT, NULL);
 	else if (!connection->has_received && !connection->message.is_begun)
-		fail_attempt(connection, OUTCOME_CONNECTION_LIMIT);
+		fail_attempt(connection, OUTCOME_CONNECTION_LIMIT, NULL);
 	else if (is_clean &&
 		 http_message_finish(&connection->message) == HTTP_COMPLETE &&
 		 read_answer(connection, &answer))
 		finish_attempt(connection, &answer, false);
 	else
-		fail_attempt(connection, OUTCOME_CONNECTION_LOST);
+		fail_attempt(connection, OUTCOME_CONNECTION_LOST,
+		    is_clean ? "the leaf closed" : "the connection broke");
 }
 
 static void
@@ -545,7 +551,7 @@
 			destroy_connection(connection);
 			continue;
 		}
-		fail_attempt(connection, OUTCOME_UNSENT);
+		fail_attempt(connection, OUTCOME_UNSENT, NULL);
 		return; /* the list may have changed */
 	}
 }
