Bound the memory of answers without end by what is allocated

Cause: bodies were stored that nobody could use (no id, another id, no stamp); the sum counted bytes in place of allocated ones; a connection kept its largest buffer for ever; the C library fragmented the heap after the first large blocks.

Fix: the head decides whether a body is stored, dropped (1 MB at most) or not waited for; the sum counts allocated bytes; buffers over 16 KB are freed behind each message; the limit for mapped blocks is fixed.

--- a/src/http.c
+++ b/src/http.c
@@ -10,7 +10,9 @@
 #define HEADERS_MAX		  100 /* in one message */
 #define START_LINE_OVERHEAD_BYTES 14  /* method, version and spaces */
 #define HEADER_OVERHEAD_BYTES	  2 /* ": " and CRLF, less the two NULs kept */
-#define STATUS_MIN		  100 /* RFC 9110, 15: others are invalid */
+#define KEPT_BUFFER_BYTES	  16384	  /* of one that is used again */
+#define UNWANTED_BODY_BYTES_MAX	  1048576 /* parsed and dropped */
+#define STATUS_MIN		  100	  /* RFC 9110, 15: others are invalid */
 #define STATUS_MAX		  599
 
 static int on_target(http_parser *parser, const char *data, size_t length);
@@ -54,27 +56,39 @@
 	message->body_bytes_max = body_bytes_max;
 }
 
+/* Empties the buffer. One large message must not hold its memory for ever. */
+static GString *
+reset_buffer(GString *buffer)
+{
+	if (buffer == NULL || buffer->allocated_len <= KEPT_BUFFER_BYTES)
+		return buffer != NULL ? g_string_truncate(buffer, 0) : NULL;
+	g_string_free(buffer, TRUE);
+	return g_string_sized_new(512);
+}
+
 void
 http_message_reset(http_message_t *message)
 {
-	enum http_parser_type type = message->parser.type;
-	GString *text = message->text, *body = message->body;
-	GString *forwarded_head = message->forwarded_head;
-	GArray *headers = message->headers;
-	size_t head_max = message->head_bytes_max;
-	size_t body_max = message->body_bytes_max;
+	http_message_t before = *message;
 
 	memset(message, 0, sizeof(*message));
-	http_parser_init(&message->parser, type);
+	http_parser_init(
+	    &message->parser, (enum http_parser_type)before.parser.type);
 	message->parser.data = message;
-	message->text = g_string_truncate(text, 0);
-	message->body = g_string_truncate(body, 0);
-	message->forwarded_head = forwarded_head != NULL
-				      ? g_string_truncate(forwarded_head, 0)
-				      : NULL;
-	message->headers = g_array_set_size(headers, 0);
-	message->head_bytes_max = head_max;
-	message->body_bytes_max = body_max;
+	message->text = reset_buffer(before.text);
+	message->body = reset_buffer(before.body);
+	message->forwarded_head = reset_buffer(before.forwarded_head);
+	message->headers = g_array_set_size(before.headers, 0);
+	message->head_bytes_max = before.head_bytes_max;
+	message->body_bytes_max = before.body_bytes_max;
+	message->head_parsed = before.head_parsed;
+	message->context = before.context;
+}
+
+size_t
+http_message_get_allocated(const http_message_t *message)
+{
+	return message->text->allocated_len + message->body->allocated_len;
 }
 
 void
@@ -326,6 +340,14 @@
 	return 0;
 }
 
+static size_t
+get_body_bytes_max(const http_message_t *message)
+{
+	return message->is_body_unwanted
+		   ? MIN(message->body_bytes_max, UNWANTED_BODY_BYTES_MAX)
+		   : message->body_bytes_max;
+}
+
 /*
  * Returns 1 for a response without a body. Checks Content-Length here, before
  * any byte of an oversized body is stored.
@@ -350,8 +372,10 @@
 		message->is_head_over_limit = true;
 		return -1;
 	}
+	if (message->head_parsed != NULL)
+		message->head_parsed(message->context);
 	if (message->has_length && !message->is_without_body &&
-	    parser->content_length > message->body_bytes_max) {
+	    parser->content_length > get_body_bytes_max(message)) {
 		message->is_body_over_limit = true;
 		return -1;
 	}
@@ -363,10 +387,15 @@
 {
 	http_message_t *message = get_message(parser);
 
-	if (message->body->len + length > message->body_bytes_max) {
+	if (message->body->len + message->dropped_body_bytes + length >
+	    get_body_bytes_max(message)) {
 		message->is_body_over_limit = true;
 		return -1;
 	}
+	if (message->is_body_unwanted) {
+		message->dropped_body_bytes += length;
+		return 0;
+	}
 	g_string_append_len(message->body, data, (gssize)length);
 	return 0;
 }
--- a/src/http.h
+++ b/src/http.h
@@ -32,7 +32,10 @@
 	GString *body;
 	GString *forwarded_head; /* head for leaves, cached by the protocol;
 				    requests only */
-	guint target;		 /* offset of the request target */
+	/** Called when the head is whole, before its body; may be NULL. */
+	void (*head_parsed)(void *context);
+	void *context; /* of head_parsed */
+	guint target;  /* offset of the request target */
 	size_t body_bytes_max, head_bytes_max;
 	bool is_begun; /* at least one byte was received */
 	bool has_head; /* all headers were parsed */
@@ -41,8 +44,11 @@
 	bool is_complete;
 	bool is_head_over_limit, is_body_over_limit;
 	bool is_status_invalid; /* responses: not 100 to 599 */
-	bool is_persistent;	/* the connection can be reused */
-	bool is_value_open;	/* the parser is inside a header value */
+	/** Set by head_parsed: the body is parsed, but not stored. */
+	bool is_body_unwanted;
+	size_t dropped_body_bytes;
+	bool is_persistent; /* the connection can be reused */
+	bool is_value_open; /* the parser is inside a header value */
 	const char *input, *input_end, *value_end; /* detect folded values */
 	bool is_value_split; /* the previous input ended inside a value */
 	bool expects_value;  /* a name was parsed; its value follows */
@@ -50,8 +56,10 @@
 
 void http_message_begin(http_message_t *message, bool is_request,
     size_t head_bytes_max, size_t body_bytes_max);
-void http_message_reset(
-    http_message_t *message); /* keeps the buffers and limits */
+/** Keeps the limits and the callback; large buffers are freed. */
+void http_message_reset(http_message_t *message);
+/** Bytes allocated for the text and the body. */
+size_t http_message_get_allocated(const http_message_t *message);
 void http_message_end(http_message_t *message);
 /** Parses bytes up to the end of the message at most. */
 http_state_t http_message_feed(
--- a/src/pool.c
+++ b/src/pool.c
@@ -8,10 +8,12 @@
 
 #include "tier_process.h"
 
-#define ANSWER_HEAD_BYTES_MAX  32768
-#define ANSWER_BODY_BYTES_MAX  8388608
-#define BUFFERED_BYTES_MAX     16777216 /* of all answers in progress */
-#define BUFFERED_FAIR_BYTES    65536	/* never closed for the sum of all */
+#define ANSWER_HEAD_BYTES_MAX 32768
+#define ANSWER_BODY_BYTES_MAX 8388608
+/* Memory for answers in progress. */
+#define BUFFERED_BYTES_MAX     16777216 /* of all connections */
+#define BUFFERED_FAIR_BYTES    65536	/* of one: not closed for the sum */
+#define STATUS_FINAL_MIN       200    /* below: interim, another one follows */
 #define SKIPPED_ANSWERS_MAX    4      /* to other requests, before the answer */
 #define CONNECT_TIMEOUT_MIN_US 300000 /* plus a few round trips */
 #define CONNECT_TIMEOUT_RTTS   4      /* added to the minimum */
@@ -23,6 +25,14 @@
 
 typedef struct leaf_pool leaf_pool_t;
 
+/** What the head of a leaf's message says of the request in flight. */
+typedef enum head_verdict {
+	HEAD_OWN,     /* the message is its answer */
+	HEAD_INTERIM, /* its answer follows */
+	HEAD_FOREIGN, /* names another request or none; its answer may follow */
+	HEAD_LOST     /* its answer is lost */
+} head_verdict_t;
+
 typedef struct leaf_connection {
 	LIST_ENTRY(leaf_connection) in_pool;
 	leaf_pool_t *leaf_pool;
@@ -38,6 +48,8 @@
 	bool has_answered;	  /* a request before the present one */
 	bool is_open, must_close; /* must_close: after this answer */
 	bool is_finishing; /* its answer is being reported: not to be used */
+	head_verdict_t verdict; /* of the message in progress */
+	leaf_answer_t answer;	/* as its head has it */
 } leaf_connection_t;
 
 struct leaf_pool {
@@ -63,6 +75,7 @@
 static void handle_opened(void *context);
 static void handle_received(void *context, const char *data, size_t length);
 static void handle_closed(void *context, bool is_clean);
+static void handle_head(void *context);
 static int64_t run_timer(void *context);
 
 static const stream_callbacks_t stream_callbacks = { handle_opened,
@@ -235,6 +248,8 @@
 	}
 	http_message_begin(&connection->message, false, ANSWER_HEAD_BYTES_MAX,
 	    ANSWER_BODY_BYTES_MAX);
+	connection->message.head_parsed = handle_head;
+	connection->message.context = connection;
 	connection->id = g_string_new(NULL);
 	LIST_INSERT_HEAD(&leaf_pool->connections, connection, in_pool);
 	leaf_pool->pool->connecting_count++;
@@ -377,47 +392,79 @@
 
 /*
  * A message that names no request says nothing of this one, which may have run.
- * It may be an addition to the answer before: the answer is waited for.
- * Returns true if there was none before, so that it ends the attempt.
+ * Behind an earlier answer it may be an addition to that one: the answer is
+ * waited for.
  */
-static bool
-take_answer_without_id(leaf_connection_t *connection, leaf_answer_t *answer)
+static head_verdict_t
+judge_head_without_id(leaf_connection_t *connection)
 {
 	pool_t *pool = connection->leaf_pool->pool;
 
-	log_answer_without_id(connection, answer->status);
+	log_answer_without_id(connection, connection->answer.status);
 	connection->must_close = true;
 	if (!connection->has_answered) {
-		*answer = (leaf_answer_t){ .outcome = OUTCOME_CONNECTION_LOST,
-			.why = "it names no request" };
-		return true;
+		connection->answer =
+		    (leaf_answer_t){ .outcome = OUTCOME_CONNECTION_LOST,
+			    .why = "it names no request" };
+		return HEAD_LOST;
 	}
 	metric_add(METRIC_REPLIES_DROPPED, 1);
 	pool->callbacks.doubted(pool->callbacks.context, connection->attempt);
-	return false;
+	return HEAD_FOREIGN;
+}
+
+static head_verdict_t
+judge_head(leaf_connection_t *connection, const char *id)
+{
+	if (connection->message.parser.status_code < STATUS_FINAL_MIN)
+		return HEAD_INTERIM;
+	if (id == NULL)
+		return judge_head_without_id(connection);
+	if (strcmp(id, connection->id->str) != 0) {
+		metric_add(METRIC_REPLIES_DROPPED, 1);
+		connection->must_close = true;
+		return HEAD_FOREIGN;
+	}
+	return connection->answer.outcome == OUTCOME_CONNECTION_LOST ? HEAD_LOST
+								     : HEAD_OWN;
 }
 
 /*
- * Returns true if the message ends the connection's current request. A late
- * answer to another request may come first; it is skipped.
+ * Only the body of this request's answer is stored: that of another message may
+ * go on for ever.
  */
-static bool
-read_answer(leaf_connection_t *connection, leaf_answer_t *answer)
+static void
+handle_head(void *context)
 {
+	leaf_connection_t *connection = context;
+	http_message_t *message = &connection->message;
+	leaf_answer_t *answer = &connection->answer;
 	const char *id = NULL;
 
-	if (connection->message.parser.status_code < 200)
-		return false;
-	*answer = (leaf_answer_t){ .message = &connection->message };
+	*answer = (leaf_answer_t){ .message = message };
 	connection->leaf_pool->pool->protocol->read_leaf_answer(
-	    &connection->message, answer, &id);
-	if (id == NULL)
-		return take_answer_without_id(connection, answer);
-	if (strcmp(id, connection->id->str) == 0)
-		return true;
-	metric_add(METRIC_REPLIES_DROPPED, 1);
-	connection->must_close = true;
-	return false;
+	    message, answer, &id);
+	connection->verdict = judge_head(connection, id);
+	message->is_body_unwanted = connection->verdict != HEAD_OWN ||
+				    (answer->outcome != OUTCOME_ANSWERED &&
+					answer->outcome != OUTCOME_LEAF_FAILED);
+}
+
+/* Whether the whole message ends the attempt. */
+static bool
+is_answer(const leaf_connection_t *connection)
+{
+	return connection->verdict == HEAD_OWN ||
+	       connection->verdict == HEAD_LOST;
+}
+
+/* Ends the attempt with the message, whose body may have moved meanwhile. */
+static void
+finish_with_answer(leaf_connection_t *connection, bool is_kept)
+{
+	connection->answer.body = connection->message.body->str;
+	connection->answer.body_length = connection->message.body->len;
+	finish_attempt(connection, &connection->answer, is_kept);
 }
 
 /* Closes a connection whose leaf sends without end, and says so. */
@@ -433,7 +480,8 @@
 	    "\"bytes\":%" G_GSIZE_FORMAT ",\"all_bytes\":%" G_GSIZE_FORMAT
 	    ",\"why\":\"%s\"",
 	    leaf->entry.id, leaf->entry.service, plain_id,
-	    connection->message.body->len,
+	    connection->message.body->len +
+		connection->message.dropped_body_bytes,
 	    connection->leaf_pool->pool->buffered_bytes, why);
 	fail_attempt(connection, OUTCOME_CONNECTION_LOST, why);
 }
@@ -442,9 +490,8 @@
 static bool
 check_buffered_bytes(leaf_connection_t *connection)
 {
-	const http_message_t *message = &connection->message;
-
-	set_buffered_bytes(connection, message->body->len + message->text->len);
+	set_buffered_bytes(
+	    connection, http_message_get_allocated(&connection->message));
 	return connection->buffered_bytes <= BUFFERED_FAIR_BYTES ||
 	       connection->leaf_pool->pool->buffered_bytes <=
 		   BUFFERED_BYTES_MAX;
@@ -454,7 +501,6 @@
 handle_received(void *context, const char *data, size_t length)
 {
 	leaf_connection_t *connection = context;
-	leaf_answer_t answer;
 	size_t used;
 
 	if (connection->attempt == NULL) { /* bytes without a request */
@@ -470,7 +516,10 @@
 		    &connection->message, data, length, &used);
 
 		if (state == HTTP_INCOMPLETE) {
-			if (!check_buffered_bytes(connection))
+			if (connection->message.has_head &&
+			    connection->verdict == HEAD_LOST)
+				finish_with_answer(connection, false);
+			else if (!check_buffered_bytes(connection))
 				fail_endless(
 				    connection, "all answers are too large");
 			return;
@@ -489,7 +538,7 @@
 		}
 		data += used;
 		length -= used;
-		if (read_answer(connection, &answer))
+		if (is_answer(connection))
 			break;
 		http_message_reset(&connection->message);
 		if (++connection->skipped_count > SKIPPED_ANSWERS_MAX) {
@@ -501,17 +550,16 @@
 	}
 	connection->reuse_until_us =
 	    get_reuse_until(&connection->message, clock_get_us());
-	finish_attempt(connection, &answer,
-	    length == 0 && connection->message.is_persistent &&
-		!connection->must_close &&
-		stream_is_flushed(connection->stream));
+	finish_with_answer(
+	    connection, length == 0 && connection->message.is_persistent &&
+			    !connection->must_close &&
+			    stream_is_flushed(connection->stream));
 }
 
 static void
 handle_closed(void *context, bool is_clean)
 {
 	leaf_connection_t *connection = context;
-	leaf_answer_t answer;
 
 	if (connection->attempt == NULL) {
 		leaf_pool_t *leaf_pool = connection->leaf_pool;
@@ -524,8 +572,8 @@
 		fail_attempt(connection, OUTCOME_CONNECTION_LIMIT, NULL);
 	else if (is_clean &&
 		 http_message_finish(&connection->message) == HTTP_COMPLETE &&
-		 read_answer(connection, &answer))
-		finish_attempt(connection, &answer, false);
+		 is_answer(connection))
+		finish_with_answer(connection, false);
 	else
 		fail_attempt(connection, OUTCOME_CONNECTION_LOST,
 		    is_clean ? "the leaf closed" : "the connection broke");
--- a/src/tier.h
+++ b/src/tier.h
@@ -227,7 +227,7 @@
 /** Outcome of an attempt, as the connection pool reports it. */
 typedef struct leaf_answer {
 	attempt_outcome_t outcome;
-	const char *why; /* CONNECTION_LOST: plain text for the log, or NULL */
+	const char *why; /* of CONNECTION_LOST, for the log; or NULL */
 	int status;
 	bool promises_not_run; /* to a caller, its status says: not run */
 	const char *stamp;     /* ANSWERED, LEAF_FAILED; NULL if absent */
--- a/src/tier_process.c
+++ b/src/tier_process.c
@@ -5,6 +5,7 @@
  */
 #include <ck_pr.h>
 #include <errno.h>
+#include <malloc.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
@@ -26,6 +27,7 @@
 #define STOP_MIN_FRACTION  0.70	   /* the balancer has removed the VM */
 #define STOP_ANSWER_US	   1000000 /* before the kill: all are answered */
 #define STOP_MARGIN_US	   500000  /* before the kill: the process ends */
+#define LARGE_BLOCK_BYTES  131072  /* returned to the system when freed */
 #define FLUSH_LINGER_US	   150000  /* time to write the last answers */
 
 typedef struct traffic {
@@ -510,6 +512,8 @@
 	if (!read_settings(
 		settings_path, &process.settings, &process.settings_time))
 		return 1;
+	/* The C library raises its own limit with each large block. */
+	mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
 	process.traffic.settings = &process.settings;
 	process.traffic.protocol = protocol_find(process.settings.protocol);
 	if (process.traffic.protocol == NULL) {
--- a/stand-ins/site_leafs.c
+++ b/stand-ins/site_leafs.c
@@ -93,25 +93,53 @@
 	site_respond(link, 503, headers, "", 0);
 }
 
-#define ENDLESS_REPEATS 2048 /* of the text, in one write */
+#define TEXT_64 \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+#define TEXT_256 TEXT_64 TEXT_64 TEXT_64 TEXT_64
+
+#define ENDLESS_WRITE_BYTES 131072 /* at least, of the repeated text */
 
 /* What a leaf sends without end, by the name of the fault. */
 static const struct endless {
 	const char *fault, *begin, *repeated;
+	bool is_own; /* with the id and a stamp, behind the first line */
 } endless_faults[] = {
 	{ "endless-head", "HTTP/1.1 200 OK\r\n",
-	    "X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n" },
+	    "X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n",
+	    false },
 	{ "endless-line", "HTTP/1.1 200 OK\r\nX-Filler: ",
-	    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" },
+	    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
+	    false },
 	{ "endless-body", "HTTP/1.1 200 OK\r\n\r\n",
-	    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" },
+	    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
+	    false },
 	{ "endless-chunks",
 	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 	    "20;extension="
-	    "aaaaaaaaaaa\r\naaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n" },
+	    "aaaaaaaaaaa\r\naaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n",
+	    false },
 	{ "endless-answers", "",
 	    "HTTP/1.1 200 OK\r\nPlantainarch-Request-Id: other\r\n"
-	    "Content-Length: 0\r\n\r\n" },
+	    "Content-Length: 0\r\n\r\n",
+	    false },
+	{ "endless-reason", "HTTP/1.1 200 ", "aaaaaaaaaaaaaaaaaaaaaaaaaaaa",
+	    false },
+	{ "endless-blank", "", "\r\n", false },
+	{ "endless-interim", "", "HTTP/1.1 100 Continue\r\n\r\n", false },
+	{ "endless-size",
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+	    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
+	    false },
+	{ "endless-trailer",
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+	    "X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n",
+	    false },
+	{ "endless-own-body", "HTTP/1.1 200 OK\r\n",
+	    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
+	    true },
+	{ "endless-own-chunks",
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+	    "400\r\n" TEXT_256 TEXT_256 TEXT_256 TEXT_256 "\r\n", true },
 };
 
 void
@@ -122,12 +150,25 @@
 	if (!stream_is_flushed(link->stream))
 		return;
 	text = g_string_new(NULL);
-	for (int i = 0; i < ENDLESS_REPEATS; i++)
+	while (text->len < ENDLESS_WRITE_BYTES)
 		g_string_append(text, link->endless);
 	stream_write(link->stream, text->str, text->len);
 	g_string_free(text, TRUE);
 }
 
+static void
+write_own_headers(site_link_t *link)
+{
+	const char *id =
+	    http_get_header(&link->message, "Plantainarch-Request-Id");
+	char *headers = g_strdup_printf("Plantainarch-Request-Id: %s\r\n"
+					"Plantainarch-Server-Stamp: %s\r\n\r\n",
+	    id, id);
+
+	stream_write(link->stream, headers, strlen(headers));
+	g_free(headers);
+}
+
 bool
 site_leafs_begin_endless(site_link_t *link, const char *fault)
 {
@@ -139,6 +180,8 @@
 		link->endless = endless->repeated;
 		stream_write(
 		    link->stream, endless->begin, strlen(endless->begin));
+		if (endless->is_own)
+			write_own_headers(link);
 		return true;
 	}
 	return false;
--- a/tests/http_framing.c
+++ b/tests/http_framing.c
@@ -204,10 +204,63 @@
 	return errors;
 }
 
+#define LARGE_BODY_BYTES 3000000
+#define IDLE_BYTES_MAX	 65536 /* of a connection between two messages */
+
+static void
+refuse_body(void *context)
+{
+	((http_message_t *)context)->is_body_unwanted = true;
+}
+
+/*
+ * A large body is held until the message is reset and no longer. One that is
+ * not wanted is never held, and not read for ever.
+ */
+static int
+check_memory(bool is_wanted)
+{
+	GString *bytes = g_string_new("HTTP/1.1 200 OK\r\n"
+				      "Transfer-Encoding: chunked\r\n\r\n");
+	http_message_t message;
+	http_state_t state;
+	size_t used, held;
+	bool is_good;
+
+	for (int i = 0; i < LARGE_BODY_BYTES / 1000; i++) {
+		g_string_append(bytes, "3e8\r\n");
+		for (int j = 0; j < 1000; j++)
+			g_string_append_c(bytes, 'b');
+		g_string_append(bytes, "\r\n");
+	}
+	g_string_append(bytes, "0\r\n\r\n");
+	http_message_begin(&message, false, 4096, LARGE_BODY_BYTES);
+	message.head_parsed = is_wanted ? NULL : refuse_body;
+	message.context = &message;
+	state = http_message_feed(&message, bytes->str, bytes->len, &used);
+	held = http_message_get_allocated(&message);
+	if (is_wanted)
+		is_good = state == HTTP_COMPLETE && held >= LARGE_BODY_BYTES &&
+			  message.body->len == LARGE_BODY_BYTES;
+	else
+		is_good = state == HTTP_INVALID && message.is_body_over_limit &&
+			  held <= IDLE_BYTES_MAX;
+	http_message_reset(&message);
+	is_good =
+	    is_good && http_message_get_allocated(&message) <= IDLE_BYTES_MAX;
+	if (!is_good)
+		printf("a large body, wanted %d: %s, held %zu and then %zu\n",
+		    is_wanted, state_names[state], held,
+		    http_message_get_allocated(&message));
+	http_message_end(&message);
+	g_string_free(bytes, TRUE);
+	return is_good ? 0 : 1;
+}
+
 int
 main(void)
 {
-	int errors = 0, count = 0;
+	int errors = check_memory(true) + check_memory(false), count = 2;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cut_cases); i++)
 		errors += check_cut(&cut_cases[i]);
