Limit the head of replies that libcurl reads, and the commands' bodies

What callers saw: nothing yet. A leaf of `serve`, or the platform, that sends trailers without end makes the process hold them all: 219 MB in 1.5 s for 64 MB sent, until it is killed for its memory and all its callers lose their requests.

Cause: libcurl keeps the headers of a reply, behind its body too, without a limit for those. The blocking client of the commands had no limit for a body either.

Fix: 64 KB for a reply's head with its trailers, 4 MB for a body that a command reads; more ends the transfer with an error.

--- a/src/fetch.c
+++ b/src/fetch.c
@@ -8,6 +8,9 @@
  *
  * libcurl takes a head that ends with the connection for a complete reply with
  * an empty body. The blank line behind the head shows that it is whole.
+ *
+ * libcurl keeps the headers of a reply, those behind its body too, and has no
+ * limit for all of them.
  */
 #include <curl/curl.h>
 #include <string.h>
@@ -18,6 +21,8 @@
 
 #define IDLE_HANDLES_MAX   256
 #define CONNECT_TIMEOUT_MS 1000
+#define HEAD_BYTES_MAX	   65536   /* of a reply, with its trailers */
+#define BLOCKING_BYTES_MAX 4194304 /* of a reply's body */
 
 static const char CUT_HEAD[] = "the connection ended inside the reply's head";
 
@@ -29,6 +34,7 @@
 	GString *reply_body;
 	bool is_draining;
 	bool has_whole_head;
+	size_t head_bytes;
 	uint64_t version;
 	bool is_reply_too_large;
 	uint64_t tag;
@@ -348,6 +354,11 @@
 	transfer_t *transfer = context;
 	size_t length = size * count;
 
+	transfer->head_bytes += length;
+	if (transfer->head_bytes > HEAD_BYTES_MAX) {
+		transfer->is_reply_too_large = true;
+		return 0;
+	}
 	track_head(&transfer->has_whole_head, data, length);
 	if (length > 10 && strncasecmp(data, "x-draining", 10) == 0)
 		transfer->is_draining = true;
@@ -356,16 +367,22 @@
 	return length;
 }
 
+/* Returns 0 to end the transfer. */
 static size_t
 append_to_string(char *data, size_t size, size_t count, void *context)
 {
-	g_string_append_len(context, data, (gssize)(size * count));
+	GString *reply = context;
+
+	if (reply->len + size * count > BLOCKING_BYTES_MAX)
+		return 0;
+	g_string_append_len(reply, data, (gssize)(size * count));
 	return size * count;
 }
 
 typedef struct blocking_head {
 	uint64_t version;
 	bool is_whole;
+	size_t bytes;
 } blocking_head_t;
 
 static size_t
@@ -373,6 +390,9 @@
 {
 	blocking_head_t *head = context;
 
+	head->bytes += size * count;
+	if (head->bytes > HEAD_BYTES_MAX)
+		return 0;
 	track_head(&head->is_whole, data, size * count);
 	if (size * count > 18 &&
 	    strncasecmp(data, "x-object-version: ", 18) == 0)
