fetch: refuse a status above 599, as the tier does

What callers saw: `serve` and the commands took 600 to 999 for the status of a reply. libcurl refuses 000 to 099 itself.

Fix: the range of http.h holds for both clients of the program.

Test: tests/fetch_cut.c asks with 000, 0, 099, 600 and 999 in three ways; 600 and 999 were taken for a reply before.

--- a/src/fetch.c
+++ b/src/fetch.c
@@ -17,7 +17,7 @@
 #include <strings.h>
 #include <sys/epoll.h>
 
-#include "plantainarch.h"
+#include "http.h"
 
 #define IDLE_HANDLES_MAX   256
 #define CONNECT_TIMEOUT_MS 1000
@@ -25,6 +25,7 @@
 #define BLOCKING_BYTES_MAX 4194304 /* of a reply's body */
 
 static const char CUT_HEAD[] = "the connection ended inside the reply's head";
+static const char BAD_STATUS[] = "the reply's status is not one of HTTP";
 
 typedef struct transfer {
 	fetch_t *fetch;
@@ -284,6 +285,8 @@
 		reply.error = curl_easy_strerror(result);
 	else if (!transfer->has_whole_head)
 		reply.error = CUT_HEAD;
+	else if (status > HTTP_STATUS_MAX)
+		reply.error = BAD_STATUS;
 	else
 		reply.http_status = (int)status;
 	reply.is_unsent =
@@ -409,6 +412,7 @@
 	struct curl_slist *headers =
 	    curl_slist_append(NULL, "Content-Type: application/json");
 	blocking_head_t head = { 0 };
+	bool is_status_valid;
 	long status = 0;
 	CURLcode result;
 
@@ -428,14 +432,16 @@
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_slist_free_all(headers);
 	curl_easy_cleanup(easy);
-	*http_status = head.is_whole ? (int)status : 0;
+	is_status_valid = status <= HTTP_STATUS_MAX;
+	*http_status = head.is_whole && is_status_valid ? (int)status : 0;
 	if (version != NULL)
 		*version = head.version;
-	if (result == CURLE_OK && head.is_whole)
+	if (result == CURLE_OK && head.is_whole && is_status_valid)
 		return true;
 	if (result == CURLE_OK)
 		return error_set(error, ERROR_UNAVAILABLE, method, url,
-		    "%s; check the process at this address", CUT_HEAD);
+		    "%s; check the process at this address",
+		    is_status_valid ? CUT_HEAD : BAD_STATUS);
 	return error_set(error,
 	    result == CURLE_OPERATION_TIMEDOUT ? ERROR_TIMEOUT
 					       : ERROR_UNAVAILABLE,
--- a/src/http.c
+++ b/src/http.c
@@ -12,8 +12,6 @@
 #define HEADER_OVERHEAD_BYTES	  2 /* ": " and CRLF, less the two NULs kept */
 #define KEPT_BUFFER_BYTES	  16384	  /* of one that is used again */
 #define UNWANTED_BODY_BYTES_MAX	  1048576 /* parsed and dropped */
-#define STATUS_MIN		  100	  /* RFC 9110, 15: others are invalid */
-#define STATUS_MAX		  599
 
 static int on_target(http_parser *parser, const char *data, size_t length);
 static int on_name(http_parser *parser, const char *data, size_t length);
@@ -363,8 +361,8 @@
 	message->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
 	message->is_persistent = http_should_keep_alive(parser) != 0;
 	if (parser->type == HTTP_RESPONSE &&
-	    (parser->status_code < STATUS_MIN ||
-		parser->status_code > STATUS_MAX)) {
+	    (parser->status_code < HTTP_STATUS_MIN ||
+		parser->status_code > HTTP_STATUS_MAX)) {
 		message->is_status_invalid = true;
 		return -1;
 	}
--- a/src/http.h
+++ b/src/http.h
@@ -14,6 +14,9 @@
 
 /* ---- Messages ---- */
 
+#define HTTP_STATUS_MIN 100 /* RFC 9110, 15: other statuses are invalid */
+#define HTTP_STATUS_MAX 599
+
 typedef struct http_header {
 	guint name, value; /* offsets into http_message_t.text */
 } http_header_t;
--- a/tests/fetch_cut.c
+++ b/tests/fetch_cut.c
@@ -38,6 +38,7 @@
 	char *sent;
 	size_t sent_length;
 	int status; /* as the client sees it; 0: no reply */
+	bool has_error;
 } cut_world_t;
 
 /* One thread: the peer of one request. */
@@ -63,6 +64,7 @@
 	cut_world_t *world = context;
 
 	world->status = reply->http_status;
+	world->has_error = reply->error != NULL;
 	loop_stop(world->loop);
 }
 
@@ -77,8 +79,10 @@
 	world->status = 0;
 	if (way == 2) {
 		if (!fetch_run_blocking("POST", world->url, "{}", TIMEOUT_US,
-			&world->status, NULL, reply, &error))
+			&world->status, NULL, reply, &error)) {
 			world->status = 0;
+			world->has_error = true;
+		}
 	} else {
 		world->loop = loop_create();
 		world->fetch = fetch_create(world->loop, 65536, 4);
@@ -119,6 +123,33 @@
 	return errors;
 }
 
+/* A status that HTTP does not have is no reply, in no way of asking. */
+static int
+check_statuses(cut_world_t *world)
+{
+	static const char *const statuses[] = { "000", "0", "099", "600",
+		"999" };
+	int errors = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++)
+		for (int way = 0; way < 3; way++) {
+			int status;
+
+			world->sent = g_strdup_printf(
+			    "HTTP/1.1 %s X\r\nContent-Length: 2\r\n\r\n{}",
+			    statuses[i]);
+			world->sent_length = strlen(world->sent);
+			world->has_error = false;
+			status = ask(world, way);
+			if (status != 0 || !world->has_error)
+				printf("status %s, way %d: %d, error %d\n",
+				    statuses[i], way, status, world->has_error);
+			errors += status != 0 || !world->has_error;
+			g_free(world->sent);
+		}
+	return errors;
+}
+
 int
 main(void)
 {
@@ -138,6 +169,7 @@
 	    ntohs(address.sin_port));
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
 		errors += check_case(&world, &cases[i]);
+	errors += check_statuses(&world);
 	close(world.listen_fd);
 	return errors == 0 ? 0 : 1;
 }
