Order what the store says by epoch, then by revision

Cause: positions in the store's feeds were compared by revision alone, and revisions are given out again. The copy's entries replaced what was known of leafs, and readers' entries of a lower revision were taken for stale.

Fix (docs/design/10-store-epochs.md): the epoch is read from every answer of the store and passed on between VMs; a later one voids positions, journals and claims, and all feeds list again. A configuration never goes back. Lifetimes of leafs that drained or went outlive the epoch. A reader whose claim is lost claims again and reads on.

--- a/src/directory.c
+++ b/src/directory.c
@@ -69,6 +69,13 @@
 }
 
 /* Looks up each prefix of the path that ends with a slash, longest first. */
+bool
+route_table_is_newer(const route_table_t *table, const route_table_t *than)
+{
+	return than == NULL || table->version > than->version ||
+	       (table->version == than->version && table->epoch > than->epoch);
+}
+
 const route_t *
 route_table_match(
     const route_table_t *table, const char *host, const char *target)
--- a/src/events.h
+++ b/src/events.h
@@ -133,5 +133,11 @@
     "a header of a leaf has a value that is not understood; it is ignored")
 LOG_EVENT(635, LOG_TIER_ANSWER_WITHOUT_ID, G_LOG_LEVEL_WARNING,
     "a leaf's answer names no request; the answer is waited for, not for long")
+LOG_EVENT(636, LOG_TIER_STORE_EPOCH, G_LOG_LEVEL_MESSAGE,
+    "the store came back from an older copy; all feeds are listed again")
+LOG_EVENT(637, LOG_TIER_BAD_EPOCH, G_LOG_LEVEL_WARNING,
+    "the epoch in an answer is not a number; it counts as unchanged")
+LOG_EVENT(638, LOG_TIER_ENTRY_HELD, G_LOG_LEVEL_MESSAGE,
+    "the entry of a leaf that had gone came back with an older copy")
 LOG_EVENT(690, LOG_LINES_DROPPED, G_LOG_LEVEL_WARNING,
     "log lines of one event were dropped in a second; a field counts them")
--- a/src/feed_journal.c
+++ b/src/feed_journal.c
@@ -66,7 +66,7 @@
 }
 
 void
-feed_journal_destroy(feed_journal_t *journal)
+feed_journal_reset(feed_journal_t *journal)
 {
 	journal_page_t *page, *next;
 
@@ -74,6 +74,17 @@
 		next = TAILQ_NEXT(page, in_journal);
 		remove_change(journal, page);
 	}
+	g_ptr_array_set_size(journal->list, 0);
+	g_ptr_array_set_size(journal->new_list, 0);
+	journal->is_listed = false;
+	journal->list_revision = journal->since_revision = 0;
+	journal->revision = 0;
+}
+
+void
+feed_journal_destroy(feed_journal_t *journal)
+{
+	feed_journal_reset(journal);
 	g_ptr_array_unref(journal->list);
 	g_ptr_array_unref(journal->new_list);
 	g_free(journal);
--- a/src/feed_journal.h
+++ b/src/feed_journal.h
@@ -20,6 +20,8 @@
 
 feed_journal_t *feed_journal_create(void);
 void feed_journal_destroy(feed_journal_t *journal);
+/** Drops all: the store came back, and its revisions mean others now. */
+void feed_journal_reset(feed_journal_t *journal);
 /** Adds a page of a list in progress; an empty name begins the list anew. */
 void feed_journal_add_list_page(feed_journal_t *journal, const char *after,
     const char *body, size_t length);
--- a/src/metrics_list.h
+++ b/src/metrics_list.h
@@ -84,6 +84,10 @@
     "calls to another VM that reads the store")
 METRIC(METRIC_TIER_STORE_FAILURES, "tier_store_failures_total",
     "calls to the platform's store that failed or returned no valid response")
+METRIC(METRIC_TIER_STORE_EPOCH, "tier_store_epoch",
+    "epoch of the platform's store; it rises when an older copy is restored")
+METRIC(METRIC_TIER_STORE_RETURNS, "tier_store_returns_total",
+    "times that the platform's store came back from an older copy")
 METRIC(METRIC_TIER_CALLERS_TURNED_AWAY, "tier_callers_turned_away_total",
     "caller connections closed because the connection limit was reached")
 METRIC(METRIC_LOG_DROPPED, "log_dropped_total",
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "feed_position.h"
 #include "mirror.h"
 
 #define CALL_HEAD_BYTES_MAX 4096
@@ -30,6 +31,7 @@
 	http_message_t message;
 	bool is_waiting; /* for changes */
 	feed_call_t call;
+	int64_t epoch;	    /* that the follower knows; 0: it did not say */
 	int64_t due_us;	    /* of a waiting call */
 	int64_t active_us;  /* last complete call, or accepted */
 	int64_t watched_us; /* last watch of the leaves; 0: none */
@@ -42,6 +44,8 @@
 	LIST_HEAD(, follower) followers;
 	int connection_count;
 	bool is_serving;
+	bool is_epoch_doubted; /* a follower knows a later one */
+	int64_t epoch;	       /* of the store; 0: unknown */
 	int64_t check_due_us;
 	feed_journal_t *journals[FEED_COUNT];
 	bool is_list_wanted[FEED_COUNT];
@@ -181,8 +185,14 @@
 	g_string_append_printf(out,
 	    "HTTP/1.1 %d %s\r\nContent-Type: "
 	    "application/json\r\n" MIRROR_AGE_HEADER ": %" G_GINT64_FORMAT
-	    "\r\nContent-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
-	    status, http_get_reason_phrase(status), age_us / 1000, length);
+	    "\r\n",
+	    status, http_get_reason_phrase(status), age_us / 1000);
+	if (follower->mirror->epoch != 0)
+		g_string_append_printf(out,
+		    MIRROR_EPOCH_HEADER ": %" G_GINT64_FORMAT "\r\n",
+		    follower->mirror->epoch);
+	g_string_append_printf(
+	    out, "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n", length);
 	g_string_append_len(out, body, (gssize)length);
 	stream_write(follower->stream, out->str, out->len);
 }
@@ -249,6 +259,14 @@
 	int64_t now_us = clock_get_us();
 
 	follower->active_us = now_us;
+	if (feed_position_compare_epoch(mirror->epoch, follower->epoch) ==
+		EPOCH_NEWER &&
+	    mirror->epoch != 0) {
+		mirror->is_epoch_doubted = true;
+		loop_wake(mirror->loop);
+		refuse(follower, 503);
+		return;
+	}
 	if (!mirror->is_serving) {
 		refuse(follower, 503);
 		return;
@@ -259,6 +277,12 @@
 	}
 	if (follower->call.feed == FEED_LEAVES)
 		follower->watched_us = now_us;
+	/* Its revision is of an epoch before. */
+	if (feed_position_compare_epoch(mirror->epoch, follower->epoch) ==
+	    EPOCH_OLDER) {
+		refuse(follower, 410);
+		return;
+	}
 	follower->is_waiting = true;
 	follower->due_us =
 	    now_us +
@@ -301,6 +325,8 @@
 		reject(follower, "not a list or a watch");
 		return;
 	}
+	follower->epoch = feed_position_parse_epoch(
+	    http_get_header(&follower->message, MIRROR_EPOCH_HEADER));
 	http_message_reset(&follower->message);
 	begin_call(follower);
 }
@@ -326,6 +352,30 @@
 		answer_watch(follower, now_us);
 }
 
+void
+mirror_begin_epoch(mirror_t *mirror, int64_t epoch, bool is_return)
+{
+	follower_t *follower;
+
+	mirror->epoch = epoch;
+	if (!is_return)
+		return;
+	for (int i = 0; i < FEED_COUNT; i++)
+		feed_journal_reset(mirror->journals[i]);
+	LIST_FOREACH(follower, &mirror->followers, in_mirror)
+	if (follower->is_waiting)
+		refuse(follower, 410);
+}
+
+bool
+mirror_take_epoch_doubt(mirror_t *mirror)
+{
+	bool is_doubted = mirror->is_epoch_doubted;
+
+	mirror->is_epoch_doubted = false;
+	return is_doubted;
+}
+
 void
 mirror_set_serving(mirror_t *mirror, bool is_serving)
 {
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -14,6 +14,9 @@
  */
 #define MIRROR_AGE_HEADER "View-Age-Ms"
 
+/** Header of calls and answers: the epoch of the store that the VM knows. */
+#define MIRROR_EPOCH_HEADER "View-Epoch"
+
 typedef struct mirror mirror_t;
 
 mirror_t *mirror_create(loop_t *loop, const protocol_t *protocol,
@@ -25,6 +28,10 @@
 /** Whether a follower asked for a list that the journal does not have. */
 bool mirror_is_list_wanted(const mirror_t *mirror, feed_t feed);
 void mirror_clear_list_wanted(mirror_t *mirror, feed_t feed);
+/** is_return: what was read before is void, and followers have to list. */
+void mirror_begin_epoch(mirror_t *mirror, int64_t epoch, bool is_return);
+/** Whether a follower knows a later epoch; once for each report. */
+bool mirror_take_epoch_doubt(mirror_t *mirror);
 /** While not serving, all calls are refused; the initial state. */
 void mirror_set_serving(mirror_t *mirror, bool is_serving);
 int mirror_count_followers(const mirror_t *mirror, int64_t now_us);
--- a/src/store_client.c
+++ b/src/store_client.c
@@ -10,6 +10,7 @@
  */
 #include <string.h>
 
+#include "feed_position.h"
 #include "mirror.h"
 #include "store_view.h"
 #include "tier_process.h"
@@ -35,6 +36,7 @@
 #define READERS_INTERVAL_US   5000000 /* a follower lists them at its reader */
 #define FREEZE_MIN_US	      2000000 /* the loop turns at least once a second */
 #define SUSPEND_MIN_US	      500000
+#define SPREAD_STEPS	      1000 /* phases of VMs, by id */
 
 /* Waits of a follower's watch: fractions of the time to know a change. */
 #define FOLLOWER_WAIT_FRACTION (1.0 / 6)
@@ -65,17 +67,19 @@
 	char peer[ENDPOINT_BYTES]; /* that the stream is connected to */
 	bool is_to_store;	   /* the call in progress */
 	http_message_t message;
-	bool is_in_call, is_listed;
+	bool is_in_call;
 	bool is_refused; /* the reader answered that it cannot serve now */
 	bool is_overdue; /* its time is over; an answer may wait to be read */
 	bool is_source_new; /* it has not answered this feed yet */
+	bool is_epoch_new;  /* not listed since the store came back */
+	bool has_bad_epoch; /* logged, once for a connection */
 	bool is_lost;	    /* the last call to the store failed */
 	int64_t lost_us;    /* time of the last failure */
 	/* Times of the boot clock, which counts suspensions too. */
 	int64_t sent_boot_us, list_sent_boot_us;
-	int64_t complete_us; /* the view holds all changes up to then */
-	int64_t since_us;    /* of the changes in the answer being read */
-	int64_t revision, list_revision;
+	feed_position_t position;
+	int64_t since_us;      /* of the changes in the answer being read */
+	int64_t list_revision; /* of the list in progress */
 	int64_t next_call_us, sent_us, timeout_us, backoff_us;
 	int64_t relisted_us; /* the last list for the sake of followers */
 	int64_t no_list_us;  /* the reader has no list since; 0: it has */
@@ -96,6 +100,8 @@
 	char reader[ENDPOINT_BYTES];
 	view_task_t task;
 	mirror_t *mirror;
+	int64_t epoch;	 /* of the store, the highest seen; 0: not said */
+	bool has_leaves; /* they were listed once */
 	bool is_stopping;
 	bool is_unconfirmed; /* after a freeze, until the source answers */
 	bool is_publish_scheduled;
@@ -202,6 +208,7 @@
 	feed_state_t *feed = context;
 	feed_state_t *leaves = &feed->client->feeds[FEED_LEAVES];
 
+	table->epoch = feed->client->epoch;
 	/* New services may have leaves that are not known yet: watch now. */
 	if (store_view_set_table(feed->client->view, table) &&
 	    leaves->step == STEP_WAITING)
@@ -213,9 +220,9 @@
 {
 	feed_state_t *feed = context;
 
-	if (feed->step == STEP_LISTING)
+	if (store_view_set_leaf(feed->client->view, entry, clock_get_us()) &&
+	    feed->step == STEP_LISTING)
 		g_hash_table_add(feed->listed_names, g_strdup(entry->id));
-	store_view_set_leaf(feed->client->view, entry);
 }
 
 static void
@@ -237,11 +244,13 @@
 	int64_t now_us = clock_get_us();
 	int64_t age_us = clock_get_boot_us() - feed->since_us;
 
+	/* The copy may not know yet what lives. */
 	return (entry_removal_t){ .now_us = now_us,
 		.earliest_us = now_us - age_us,
 		.is_after_outage =
-		    client->outage_us != 0 && age_us > OUTAGE_MIN_US &&
-		    now_us - client->outage_us < RECENT_OUTAGE_US };
+		    feed->is_epoch_new ||
+		    (client->outage_us != 0 && age_us > OUTAGE_MIN_US &&
+			now_us - client->outage_us < RECENT_OUTAGE_US) };
 }
 
 static void
@@ -305,8 +314,8 @@
 	mirror_set_serving(client->mirror,
 	    client->mode == VIEW_READING && !client->is_stopping &&
 		!client->is_unconfirmed &&
-		feeds[FEED_CONFIGURATION].is_listed &&
-		feeds[FEED_LEAVES].is_listed &&
+		feeds[FEED_CONFIGURATION].position.is_listed &&
+		feeds[FEED_LEAVES].position.is_listed &&
 		!feeds[FEED_CONFIGURATION].is_lost &&
 		!feeds[FEED_LEAVES].is_lost && !feeds[FEED_READERS].is_lost);
 }
@@ -372,10 +381,10 @@
 static void
 set_complete(feed_state_t *feed, int64_t boot_us)
 {
-	feed->complete_us = boot_us;
+	feed_position_confirm(&feed->position, boot_us);
 	feed_journal_set_complete(
 	    mirror_get_journal(feed->client->mirror, feed->feed),
-	    feed->complete_us);
+	    feed->position.complete_us);
 }
 
 /*
@@ -393,8 +402,8 @@
 		    feed->is_to_store && feed->sent_us < listed_us) {
 			feed->is_lost = false;
 			feed->backoff_us = 0;
-			set_complete(
-			    feed, MAX(feed->complete_us, listed_boot_us));
+			set_complete(feed,
+			    MAX(feed->position.complete_us, listed_boot_us));
 		}
 	}
 }
@@ -416,7 +425,7 @@
 	if (was_lost)
 		log_fields(LOG_TIER_STORE_REGAINED,
 		    "\"feed\":\"%s\",\"revision\":%" G_GINT64_FORMAT,
-		    feed_names[feed->feed], feed->revision);
+		    feed_names[feed->feed], feed->position.revision);
 	if (feed->feed == FEED_READERS)
 		confirm_watches(client, feed->sent_us, feed->sent_boot_us);
 	if (!client->feeds[FEED_CONFIGURATION].is_lost &&
@@ -450,7 +459,8 @@
 	log_fields(LOG_TIER_STORE_LOST,
 	    "\"feed\":\"%s\",\"why\":\"%s\",\"revision\":%" G_GINT64_FORMAT
 	    ",\"peer\":\"%s\"",
-	    feed_names[feed->feed], plain_why, feed->revision, feed->peer);
+	    feed_names[feed->feed], plain_why, feed->position.revision,
+	    feed->peer);
 }
 
 /* Closes the connection and schedules the next call after a backoff. */
@@ -508,9 +518,11 @@
 		drop_call(feed, 0, 0);
 	feed->is_to_store = is_to_store;
 	g_strlcpy(feed->peer, peer, sizeof(feed->peer));
-	if (feed->stream == NULL)
+	if (feed->stream == NULL) {
+		feed->has_bad_epoch = false;
 		feed->stream =
 		    stream_connect(client->loop, peer, &stream_callbacks, feed);
+	}
 	if (feed->stream == NULL) {
 		fail_call(feed, "cannot connect");
 		return;
@@ -526,6 +538,18 @@
 	stream_write(feed->stream, call->str, call->len);
 }
 
+/* Tells a reader which epoch this VM knows. The call ends with a blank line. */
+static void
+add_epoch(const feed_state_t *feed, GString *call, bool is_to_store)
+{
+	if (is_to_store || feed->client->epoch == 0)
+		return;
+	g_string_truncate(call, call->len - strlen("\r\n"));
+	g_string_append_printf(call,
+	    MIRROR_EPOCH_HEADER ": %" G_GINT64_FORMAT "\r\n\r\n",
+	    feed->client->epoch);
+}
+
 /* Begins a list, or continues it with the next page. */
 static void
 send_list(feed_state_t *feed, bool is_to_store, bool may_be_stale)
@@ -544,6 +568,7 @@
 		    timeout_us, view_source_get_probe_us(feed->client->source));
 	feed->client->protocol->write_list(
 	    call, feed->feed, feed->last_name, may_be_stale);
+	add_epoch(feed, call, is_to_store);
 	send_call(feed, call, is_to_store, timeout_us);
 	if (feed->is_in_call)
 		feed->step = STEP_LISTING;
@@ -578,7 +603,8 @@
 	if (!is_to_store && feed->is_source_new)
 		wait_us = 0;
 	client->protocol->write_watch(
-	    call, feed->feed, feed->revision, wait_us / 1000);
+	    call, feed->feed, feed->position.revision, wait_us / 1000);
+	add_epoch(feed, call, is_to_store);
 	send_call(feed, call, is_to_store, wait_us + slack_us);
 	g_string_free(call, TRUE);
 	if (!feed->is_in_call)
@@ -638,7 +664,7 @@
 static void
 interrupt_watch_for_list(feed_state_t *feed, int64_t now_us)
 {
-	if (feed->is_in_call && feed->is_to_store && feed->is_listed &&
+	if (feed->is_in_call && feed->is_to_store && feed->position.is_listed &&
 	    feed->step == STEP_WATCHING &&
 	    mirror_is_list_wanted(feed->client->mirror, feed->feed) &&
 	    is_relist_due(feed, now_us))
@@ -654,10 +680,10 @@
 		feed->next_call_us = feed->lost_us + LOST_FEED_WAIT_US;
 	else if (client->mode == VIEW_SEARCHING)
 		feed->next_call_us = INT64_MAX; /* until there is a source */
-	else if (feed->is_listed && !is_relist_due(feed, now_us))
+	else if (feed->position.is_listed && !is_relist_due(feed, now_us))
 		send_watch(feed);
 	else {
-		if (feed->is_listed)
+		if (feed->position.is_listed)
 			feed->relisted_us = now_us;
 		send_list(feed, is_at_store(client), false);
 	}
@@ -688,6 +714,166 @@
 	}
 }
 
+/* ---- Epochs of the store ---- */
+
+static void
+schedule_call(feed_state_t *feed, int64_t now_us, int64_t delay_us)
+{
+	feed->step = STEP_WAITING;
+	feed->next_call_us = now_us + delay_us;
+	loop_wake(feed->client->loop);
+}
+
+/* Of many VMs that learn of a new epoch at the same moment. */
+static int64_t
+get_spread_us(const feed_state_t *feed)
+{
+	const tier_settings_t *settings = &feed->client->settings;
+	double phase =
+	    (double)(hash_text(settings->id) % SPREAD_STEPS) / SPREAD_STEPS;
+
+	return feed->client->mode == VIEW_READING ||
+		       feed->feed == FEED_CONFIGURATION
+		   ? 0
+		   : (int64_t)(phase * LEAVES_BATCH_FRACTION *
+			       (double)settings->drain_us);
+}
+
+static void
+log_epoch(const feed_state_t *feed, int64_t epoch)
+{
+	static const char *const steps[] = { "none", "list", "watch", "write" };
+	const store_client_t *client = feed->client;
+
+	metric_add(METRIC_TIER_STORE_RETURNS, 1);
+	log_fields(LOG_TIER_STORE_EPOCH,
+	    "\"from\":%" G_GINT64_FORMAT ",\"to\":%" G_GINT64_FORMAT
+	    ",\"peer\":\"%s\",\"feed\":\"%s\",\"call\":\"%s\","
+	    "\"view\":\"%s\",\"configuration_revision\":%" G_GINT64_FORMAT
+	    ",\"leafs_revision\":%" G_GINT64_FORMAT,
+	    client->epoch, epoch, feed->peer, feed_names[feed->feed],
+	    steps[feed->step], view_source_get_mode_name(client->mode),
+	    client->feeds[FEED_CONFIGURATION].position.revision,
+	    client->feeds[FEED_LEAVES].position.revision);
+}
+
+/*
+ * The store came back from an older copy. Revisions read before are void, and
+ * what the view holds is checked against new lists. The view itself, with the
+ * configuration in force, stays until then.
+ */
+static void
+begin_epoch(feed_state_t *heard, int64_t epoch, int64_t now_us)
+{
+	store_client_t *client = heard->client;
+	bool is_first = client->epoch == 0;
+
+	if (!is_first)
+		log_epoch(heard, epoch);
+	client->epoch = epoch;
+	metric_set(METRIC_TIER_STORE_EPOCH, epoch);
+	mirror_begin_epoch(client->mirror, epoch, !is_first);
+	store_view_begin_epoch(client->view, epoch, now_us);
+	for (int i = 0; i < FEED_COUNT; i++)
+		client->feeds[i].position.epoch = epoch;
+	if (is_first)
+		return;
+	view_source_begin_epoch(client->source, now_us);
+	client->readers_due_us = now_us + get_spread_us(heard);
+	for (int i = 0; i < FEED_COUNT; i++) {
+		feed_state_t *feed = &client->feeds[i];
+
+		feed_position_begin_epoch(&feed->position, epoch);
+		feed->is_epoch_new = feed->feed != FEED_READERS;
+		if (feed == heard)
+			continue;
+		if (feed->feed == FEED_READERS &&
+		    client->task != VIEW_TASK_NONE) {
+			client->task = VIEW_TASK_NONE;
+			view_source_drop_task(client->source, now_us);
+		}
+		drop_call(feed, now_us, get_spread_us(feed));
+	}
+	update_serving(client);
+	loop_wake(client->loop);
+}
+
+/* Epoch of the answer; 0: it does not say, and counts as of the known one. */
+static int64_t
+read_epoch(feed_state_t *feed)
+{
+	const char *text;
+	int64_t epoch;
+
+	if (feed->is_to_store)
+		text = feed->client->protocol->get_store_epoch(&feed->message);
+	else
+		text = http_get_header(&feed->message, MIRROR_EPOCH_HEADER);
+	epoch = feed_position_parse_epoch(text);
+	if (text != NULL && epoch == 0 && !feed->has_bad_epoch) {
+		feed->has_bad_epoch = true;
+		log_fields(LOG_TIER_BAD_EPOCH,
+		    "\"feed\":\"%s\",\"peer\":\"%s\"", feed_names[feed->feed],
+		    feed->peer);
+	}
+	return epoch;
+}
+
+/* An answer from before the store came back changes nothing. */
+static void
+ignore_answer(feed_state_t *feed, int64_t now_us)
+{
+	store_client_t *client = feed->client;
+
+	if (feed->feed == FEED_READERS && feed->is_to_store) {
+		client->task = VIEW_TASK_NONE;
+		view_source_drop_task(client->source, now_us);
+		drop_call(feed, now_us, 0);
+		return;
+	}
+	feed->is_refused = !feed->is_to_store;
+	fail_call(feed, "the answer is from before the store came back");
+	feed->is_refused = false;
+}
+
+/* The first page of a list is of one epoch, whatever was read before. */
+static bool
+begins_list(const feed_state_t *feed)
+{
+	return feed->step == STEP_LISTING && feed->last_name[0] == '\0' &&
+	       feed->message.parser.status_code == 200;
+}
+
+/* Returns whether the answer tells something of the present epoch. */
+static bool
+take_epoch(feed_state_t *feed, int64_t now_us)
+{
+	store_client_t *client = feed->client;
+	int64_t epoch = read_epoch(feed);
+	bool is_first = client->epoch == 0;
+
+	switch (feed_position_compare_epoch(client->epoch, epoch)) {
+	case EPOCH_SAME:
+		return true;
+	case EPOCH_OLDER:
+		ignore_answer(feed, now_us);
+		return false;
+	case EPOCH_NEWER:
+		break;
+	}
+	begin_epoch(feed, epoch, now_us);
+	if (is_first || begins_list(feed))
+		return true;
+	if (feed->feed == FEED_READERS && feed->is_to_store &&
+	    client->task != VIEW_TASK_NONE) {
+		client->task = VIEW_TASK_NONE;
+		view_source_drop_task(client->source, now_us);
+	}
+	http_message_reset(&feed->message);
+	schedule_call(feed, now_us, get_spread_us(feed));
+	return false;
+}
+
 /* ---- Answers ---- */
 
 /* Sets the time that a reader's answer is of; false: it does not say. */
@@ -718,12 +904,12 @@
 	int64_t as_of_us;
 
 	if (feed->step != STEP_WATCHING)
-		return feed->complete_us;
+		return feed->position.complete_us;
 	if (read_age(feed, &as_of_us))
-		return MAX(feed->complete_us, as_of_us);
+		return MAX(feed->position.complete_us, as_of_us);
 	return feed->is_to_store && waited_until_us > feed->sent_boot_us
-		   ? MAX(feed->complete_us, waited_until_us)
-		   : feed->complete_us;
+		   ? MAX(feed->position.complete_us, waited_until_us)
+		   : feed->position.complete_us;
 }
 
 static int64_t
@@ -740,14 +926,6 @@
 			       LEAVES_BATCH_FRACTION);
 }
 
-static void
-schedule_call(feed_state_t *feed, int64_t now_us, int64_t delay_us)
-{
-	feed->step = STEP_WAITING;
-	feed->next_call_us = now_us + delay_us;
-	loop_wake(feed->client->loop);
-}
-
 static void
 finish_readers(feed_state_t *feed, int64_t now_us)
 {
@@ -770,27 +948,32 @@
 	int64_t as_of_us = feed->list_sent_boot_us;
 
 	if (!feed->is_to_store && !read_age(feed, &as_of_us))
-		as_of_us = feed->complete_us;
-	feed_journal_finish_list(
-	    journal, now_us, as_of_us, feed->list_revision, feed->is_listed);
-	mirror_clear_list_wanted(client->mirror, feed->feed);
+		as_of_us = feed->position.complete_us;
 	feed->no_list_us = 0;
 	if (feed->feed == FEED_READERS) {
 		finish_readers(feed, now_us);
-		return;
+		/* Followers must not go to the reader that an old claim names.
+		 */
+		if (view_source_is_claim_lost(client->source))
+			return;
 	}
-	if (feed->feed == FEED_LEAVES)
+	feed_journal_finish_list(journal, now_us, as_of_us, feed->list_revision,
+	    feed->position.is_listed);
+	mirror_clear_list_wanted(client->mirror, feed->feed);
+	if (feed->feed == FEED_READERS)
+		return;
+	if (feed->feed == FEED_LEAVES) {
 		store_view_keep_entries(
 		    client->view, &removal, feed->listed_names);
+		client->has_leaves = true;
+	}
+	feed->is_epoch_new = false;
 	/*
 	 * Changes during a list of several pages are watched from its first
 	 * page. A list that only shortens the journal changes no revision.
 	 */
-	if (!feed->is_listed) {
-		feed->revision = feed->list_revision;
-		set_complete(feed, as_of_us);
-	}
-	feed->is_listed = true;
+	feed_position_set_list(&feed->position, feed->list_revision, as_of_us);
+	set_complete(feed, feed->position.complete_us);
 	update_serving(client);
 }
 
@@ -799,14 +982,14 @@
     const feed_state_t *feed, bool is_list, int64_t revision, int64_t now_us)
 {
 	if (feed->feed == FEED_READERS ||
-	    (revision == feed->revision && !is_list))
+	    (revision == feed->position.revision && !is_list))
 		return;
 	log_fields(LOG_TIER_STORE_READ,
 	    "\"feed\":\"%s\",\"call\":\"%s\",\"peer\":\"%s\","
 	    "\"revision\":%" G_GINT64_FORMAT ",\"before\":%" G_GINT64_FORMAT
 	    ",\"took_us\":%" G_GINT64_FORMAT,
 	    feed_names[feed->feed], is_list ? "list" : "watch", feed->peer,
-	    revision, feed->revision, now_us - feed->sent_us);
+	    revision, feed->position.revision, now_us - feed->sent_us);
 }
 
 static void
@@ -862,7 +1045,7 @@
 
 	log_store_read(feed, false, page->revision, now_us);
 	add_to_journal(feed, page, now_us);
-	feed->revision = MAX(feed->revision, page->revision);
+	feed_position_advance(&feed->position, page->revision);
 	set_complete(feed, feed->is_to_store && page->count < WATCH_PAGE_EVENTS
 			       ? MAX(feed->since_us, feed->sent_boot_us)
 			       : feed->since_us);
@@ -889,7 +1072,8 @@
 	    feed->feed, feed->message.body->str, feed->message.body->len, &sink,
 	    &page, &error);
 	if (!is_valid) {
-		feed->is_listed = feed->is_listed && is_list;
+		if (!is_list)
+			feed_position_lose_history(&feed->position);
 		fail_call(feed, error.text);
 		return;
 	}
@@ -947,9 +1131,11 @@
 	feed->is_in_call = false;
 	if (feed->is_to_store && feed->step != STEP_WATCHING)
 		metric_observe(HISTOGRAM_TIER_STORE, now_us - feed->sent_us);
-	if (status == 410 && feed->step == STEP_WATCHING) {
+	if (!take_epoch(feed, now_us)) {
+		/* Nothing of it is used. */
+	} else if (status == 410 && feed->step == STEP_WATCHING) {
 		/* The revision was compacted: list again. */
-		feed->is_listed = false;
+		feed_position_lose_history(&feed->position);
 		http_message_reset(&feed->message);
 		schedule_call(feed, now_us, 0);
 		update_serving(feed->client);
@@ -1075,7 +1261,7 @@
 
 	client->is_publish_scheduled = false;
 	/* Nothing is published until both feeds were read. */
-	if (!client->feeds[FEED_LEAVES].is_listed)
+	if (!client->has_leaves)
 		return;
 	directory = store_view_build(client->view, client->vm_count);
 	if (directory != NULL)
@@ -1122,6 +1308,8 @@
 		if (is_at_store(client))
 			view_source_request_list(client->source, now_us);
 	}
+	if (mirror_take_epoch_doubt(client->mirror) && is_at_store(client))
+		view_source_request_list(client->source, now_us);
 	view_source_set_follower_count(
 	    client->source, mirror_count_followers(client->mirror, now_us));
 	if (client->task == VIEW_TASK_NONE)
--- a/src/store_view.h
+++ b/src/store_view.h
@@ -26,9 +26,17 @@
 void store_view_destroy(store_view_t *view);
 /** Takes the table. False: it is not newer than the one in force. */
 bool store_view_set_table(store_view_t *view, route_table_t *table);
+/**
+ * The store came back from an older copy. What is known of a leaf's lifetime
+ * outlives the epoch: a drained one is not used again, one that was removed
+ * only if its entry was written since or is still there after some time.
+ */
+void store_view_begin_epoch(store_view_t *view, int64_t epoch, int64_t now_us);
 /** Call before the objects of each page. */
 void store_view_begin_page(store_view_t *view);
-void store_view_set_leaf(store_view_t *view, const leaf_entry_t *entry);
+/** False: the entry is of an earlier lifetime than the one known. */
+bool store_view_set_leaf(
+    store_view_t *view, const leaf_entry_t *entry, int64_t now_us);
 void store_view_remove_entry(
     store_view_t *view, const entry_removal_t *removal, const char *id);
 /** Removes the entries whose ids are not in the set of a complete list. */
--- a/src/tier.h
+++ b/src/tier.h
@@ -59,6 +59,7 @@
 /** One version of the configuration: immutable, reference counted. */
 typedef struct route_table {
 	uint64_t version;
+	int64_t epoch;	     /* of the store when it was read; 0: unknown */
 	GPtrArray *routes;   /* route_t */
 	GPtrArray *services; /* service_entry_t */
 	GHashTable *by_key;  /* "host prefix" -> route_t, owned by routes */
@@ -72,6 +73,9 @@
     const char *host, const char *prefix, int target_count);
 void route_table_add_service(
     route_table_t *table, const char *name, int connections);
+/** Higher version; or the same one, from a later epoch of the store. */
+bool route_table_is_newer(
+    const route_table_t *table, const route_table_t *than);
 const route_t *route_table_match(
     const route_table_t *table, const char *host, const char *target);
 
@@ -81,6 +85,7 @@
 	char address[ENDPOINT_BYTES]; /* IPv4:port */
 	int slots;		      /* concurrent requests */
 	int64_t started_ms; /* start of its process, Unix time; 0: unknown */
+	int64_t revision;   /* of the entry's last change; 0: unknown */
 	int64_t warmup_us;  /* remaining time of slow start */
 	bool is_draining;
 	bool is_entry_missing; /* removed, within grace time */
--- a/src/tier_answers.c
+++ b/src/tier_answers.c
@@ -41,14 +41,16 @@
 		return;
 	snprintf(text, sizeof(text),
 	    "\"id\":\"%s\",\"route\":\"%s\",\"version\":%" G_GUINT64_FORMAT
+	    ",\"epoch\":%" G_GINT64_FORMAT
 	    ",\"outcome\":\"%s\",\"took_us\":%" G_GINT64_FORMAT
 	    ",\"patience_us\":%" G_GINT64_FORMAT
 	    ",\"caller_rtt_us\":%" G_GINT64_FORMAT
 	    ",\"parts\":%d,\"done\":%d,\"failed\":%d,\"extra\":%d",
 	    request->log_id, request->route->name, request->table->version,
-	    outcome, took_us, request->info.caller_timeout_us,
-	    request->info.rtt_us, request->part_count, request->done_count,
-	    request->failed_count, request->extra_count);
+	    request->table->epoch, outcome, took_us,
+	    request->info.caller_timeout_us, request->info.rtt_us,
+	    request->part_count, request->done_count, request->failed_count,
+	    request->extra_count);
 	tier->callbacks.log(tier->callbacks.context, event, text);
 }
 
--- a/src/tier_leaves.c
+++ b/src/tier_leaves.c
@@ -169,9 +169,9 @@
 static void
 apply_table(tier_t *tier, route_table_t *table)
 {
-	char text[128];
+	char text[160];
 
-	if (tier->table != NULL && table->version <= tier->table->version) {
+	if (!route_table_is_newer(table, tier->table)) {
 		if (table->version < tier->table->version)
 			tier->callbacks.log(tier->callbacks.context,
 			    LOG_INVARIANT_REVERT, "\"what\":\"configuration\"");
@@ -179,9 +179,9 @@
 	}
 	snprintf(text, sizeof(text),
 	    "\"version\":%" G_GUINT64_FORMAT ",\"before\":%" G_GUINT64_FORMAT
-	    ",\"routes\":%u",
+	    ",\"epoch\":%" G_GINT64_FORMAT ",\"routes\":%u",
 	    table->version, tier->table != NULL ? tier->table->version : 0,
-	    table->routes->len);
+	    table->epoch, table->routes->len);
 	tier->callbacks.log(
 	    tier->callbacks.context, LOG_TIER_CONFIGURATION, text);
 	route_table_release(tier->table);
--- a/src/tier_process.h
+++ b/src/tier_process.h
@@ -70,6 +70,8 @@
 	void (*write_reader_claim)(GString *out, const reader_entry_t *entry);
 	/** Writes the number of VMs if the entry has this revision. */
 	void (*write_reader_report)(GString *out, const reader_entry_t *entry);
+	/** Value of the header that tells the store's epoch, or NULL. */
+	const char *(*get_store_epoch)(const http_message_t *message);
 	/** The entry in the response to a write; false: there is none. */
 	bool (*read_reader)(
 	    const char *body, size_t length, reader_entry_t *entry);
--- a/src/view_source.c
+++ b/src/view_source.c
@@ -54,6 +54,8 @@
 	reader_entry_t own;	       /* entry that would name this VM */
 	bool are_readers_known, is_store_reachable, is_confirmed;
 	bool needs_fresh_list; /* a stale one would not tell enough */
+	bool is_claim_checked; /* READING: in this epoch */
+	bool is_claim_lost;    /* READING: the entry is to be claimed again */
 	bool has_list_failed;  /* the last one */
 	view_task_t task;      /* in progress */
 	int64_t listed_us, list_due_us;
@@ -197,6 +199,7 @@
 	if (mode == source->mode && mode != VIEW_FOLLOWING)
 		return;
 	source->mode = mode;
+	source->is_claim_lost = false;
 	if (mode != VIEW_SEARCHING && mode != VIEW_FOLLOWING)
 		source->search_until_us = 0;
 	source->store_lost_us = 0;
@@ -304,6 +307,7 @@
 begin_reading(view_source_t *source, int64_t now_us, const char *why)
 {
 	source->claim_due_us = NEVER_US;
+	source->is_claim_checked = true;
 	source->reading_since_us = now_us;
 	source->report_due_us = now_us + REPORT_INTERVAL_US;
 	source->reported_count = 0;
@@ -331,16 +335,38 @@
 	reader->entry = *entry;
 }
 
+/*
+ * A copy of the store may lack this reader's claim, or name a reader before it,
+ * which may be dead. This VM claims the entry again and goes on reading.
+ */
+static bool
+recover_claim(view_source_t *source, int64_t now_us, const reader_state_t *zone)
+{
+	bool is_own = zone != NULL && is_self(source, &zone->entry);
+
+	if (source->mode != VIEW_READING || source->is_claim_checked)
+		return false;
+	source->is_claim_checked = true;
+	source->is_claim_lost = !is_own;
+	if (source->is_claim_lost)
+		source->claim_due_us = now_us;
+	return source->is_claim_lost;
+}
+
 /* Takes up or gives up the zone's entry, as it says. */
 static void
 apply_own_entry(view_source_t *source, int64_t now_us, bool is_from_store)
 {
 	const reader_state_t *zone = find_zone(source, source->options.zone);
 
+	if (zone != NULL)
+		source->own.revision = zone->entry.revision;
+	if (is_from_store && recover_claim(source, now_us, zone))
+		return;
 	if (zone == NULL)
 		return;
-	source->own.revision = zone->entry.revision;
 	if (is_self(source, &zone->entry)) {
+		source->is_claim_lost = false;
 		if (source->mode != VIEW_READING && is_from_store)
 			begin_reading(
 			    source, now_us, "the zone's entry names this VM");
@@ -465,6 +491,34 @@
 		: now_us + LIST_INTERVAL_US + draw_us(source, LIST_INTERVAL_US);
 }
 
+void
+view_source_begin_epoch(view_source_t *source, int64_t now_us)
+{
+	for (guint i = 0; i < source->readers->len; i++)
+		get_reader(source, i)->entry.revision = 0;
+	source->own.revision = 0;
+	source->reported_count = 0;
+	source->needs_fresh_list = true;
+	source->is_claim_checked = source->is_claim_lost = false;
+	if (source->mode != VIEW_FOLLOWING)
+		source->list_due_us = now_us;
+}
+
+void
+view_source_drop_task(view_source_t *source, int64_t now_us)
+{
+	source->task = VIEW_TASK_NONE;
+	source->needs_fresh_list = true;
+	if (source->mode != VIEW_FOLLOWING)
+		source->list_due_us = now_us + TICK_MIN_US;
+}
+
+bool
+view_source_is_claim_lost(const view_source_t *source)
+{
+	return source->is_claim_lost;
+}
+
 void
 view_source_handle_write(view_source_t *source, int64_t now_us,
     view_write_result_t result, const reader_entry_t *entry)
@@ -480,10 +534,10 @@
 					       draw_us(source, CLAIM_RETRY_US);
 		return;
 	}
+	source->is_claim_lost = false;
 	set_reader(source, entry);
 	apply_own_entry(source, now_us, true);
-	if (source->mode != VIEW_READING)
-		source->claim_due_us = NEVER_US;
+	source->claim_due_us = NEVER_US;
 	if (source->mode == VIEW_SEARCHING)
 		search(source, now_us, "another VM claimed the zone");
 	return_to_own_zone(source, now_us);
@@ -579,7 +633,7 @@
 static void
 schedule_claim(view_source_t *source, int64_t now_us)
 {
-	if (!source->are_readers_known)
+	if (!source->are_readers_known || source->is_claim_lost)
 		return;
 	if (is_zone_served(source))
 		source->claim_due_us = NEVER_US;
--- a/src/view_source.h
+++ b/src/view_source.h
@@ -78,6 +78,12 @@
 void view_source_set_readers(view_source_t *source, int64_t now_us,
     const reader_entry_t *entries, int count, bool is_from_store);
 void view_source_fail_list(view_source_t *source, int64_t now_us);
+/** The store came back from an older copy: no entry read before counts. */
+void view_source_begin_epoch(view_source_t *source, int64_t now_us);
+/** The task ended with an answer that tells nothing of this epoch. */
+void view_source_drop_task(view_source_t *source, int64_t now_us);
+/** This VM reads, but the store does not name it since it came back. */
+bool view_source_is_claim_lost(const view_source_t *source);
 /** Result of a claim or report; entry: as the store has it, or NULL. */
 void view_source_handle_write(view_source_t *source, int64_t now_us,
     view_write_result_t result, const reader_entry_t *entry);
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -22,6 +22,8 @@
  *                                  and &zone=Z
  * GET  /configuration?version=N    the next one; &set=NAME, &shards=N, and
  *                                  &idle=N for routes that nobody uses
+ * GET  /copy                       the store takes a copy of itself
+ * GET  /return                     it comes back as that copy
  * GET  /churn?version=N            N changes of one leaf's entry
  */
 #include <argtable2.h>
@@ -56,9 +58,14 @@
 {
 	GString *out = g_string_new(NULL);
 
-	g_string_printf(out,
-	    "HTTP/1.1 %d %s\r\n%sContent-Length: %" G_GSIZE_FORMAT "\r\n\r\n",
-	    status, http_get_reason_phrase(status), headers, length);
+	g_string_printf(out, "HTTP/1.1 %d %s\r\n%s", status,
+	    http_get_reason_phrase(status), headers);
+	if (link->port->type == PORT_STORE)
+		g_string_append_printf(out,
+		    "Store-Era: %" G_GINT64_FORMAT "\r\n",
+		    link->port->site->era);
+	g_string_append_printf(
+	    out, "Content-Length: %" G_GSIZE_FORMAT "\r\n\r\n", length);
 	g_string_append_len(out, body, (gssize)length);
 	if (link->port->type == PORT_STORE &&
 	    strcmp(link->port->site->mode, "cut") == 0) {
@@ -260,6 +267,10 @@
 		    sizeof(site->drained_while_listed));
 	else if (g_str_has_prefix(target, "/entry"))
 		set_entry(site, id, state, target);
+	else if (g_str_has_prefix(target, "/copy"))
+		site_store_take_copy(site);
+	else if (g_str_has_prefix(target, "/return"))
+		site_store_return_to_copy(site);
 	else if (g_str_has_prefix(target, "/churn"))
 		churn(site, atoi(version));
 	else if (g_str_has_prefix(target, "/configuration"))
--- a/stand-ins/site.h
+++ b/stand-ins/site.h
@@ -64,6 +64,9 @@
 	GHashTable *objects;  /* "kind/name" -> json_t */
 	GQueue history;	      /* site_event_t */
 	int64_t revision, oldest;
+	int64_t era;	  /* rises by one when the store comes back as a copy */
+	GHashTable *copy; /* "kind/name" -> json_t; NULL: none was taken */
+	int64_t copy_revision;
 	char mode[16];
 	int shards, work_ms;
 	int idle_routes; /* of each configuration, that nobody uses */
@@ -101,6 +104,9 @@
 void site_store_put_leaf(
     site_t *site, const site_leaf_t *leaf, const char *state);
 void site_store_set_mode(site_t *site, const char *mode);
+void site_store_take_copy(site_t *site);
+/** What was written after the copy is lost, and so are all connections. */
+void site_store_return_to_copy(site_t *site);
 
 /* site_leafs.c */
 site_leaf_t *site_leafs_add(site_t *site, const char *id, const char *service,
--- a/stand-ins/site_store.c
+++ b/stand-ins/site_store.c
@@ -33,6 +33,7 @@
 site_store_begin(site_t *site)
 {
 	site->revision = FIRST_REVISION;
+	site->era = 1;
 	site->objects = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, release_object);
 	g_queue_init(&site->history);
@@ -81,7 +82,8 @@
 	json_t *events;
 	int64_t last = site->revision;
 
-	if (link->watch_revision < site->oldest) {
+	if (link->watch_revision < site->oldest ||
+	    link->watch_revision > site->revision) {
 		link->watch_revision = -1;
 		respond_json(link, 410, json_pack("{s:s}", "error", "gone"));
 		return;
@@ -465,6 +467,56 @@
 	}
 }
 
+static gboolean
+is_after_copy(gpointer data, const site_t *site)
+{
+	return ((const site_event_t *)data)->revision > site->copy_revision;
+}
+
+static GHashTable *
+copy_objects(GHashTable *objects)
+{
+	GHashTable *copy = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, release_object);
+	GHashTableIter iter;
+	gpointer key, object;
+
+	g_hash_table_iter_init(&iter, objects);
+	while (g_hash_table_iter_next(&iter, &key, &object))
+		g_hash_table_insert(
+		    copy, g_strdup(key), json_deep_copy(object));
+	return copy;
+}
+
+void
+site_store_take_copy(site_t *site)
+{
+	if (site->copy != NULL)
+		g_hash_table_unref(site->copy);
+	site->copy = copy_objects(site->objects);
+	site->copy_revision = site->revision;
+}
+
+void
+site_store_return_to_copy(site_t *site)
+{
+	if (site->copy == NULL)
+		return;
+	while (!g_queue_is_empty(&site->history) &&
+	       is_after_copy(g_queue_peek_tail(&site->history), site)) {
+		site_event_t *event = g_queue_pop_tail(&site->history);
+
+		json_decref(event->object);
+		g_free(event->kind);
+		g_free(event);
+	}
+	g_hash_table_unref(site->objects);
+	site->objects = copy_objects(site->copy);
+	site->revision = site->copy_revision;
+	site->era++;
+	reset_store(site);
+}
+
 void
 site_store_set_mode(site_t *site, const char *mode)
 {
--- a/tests/feed_journal.c
+++ b/tests/feed_journal.c
@@ -12,10 +12,11 @@
 #define SECOND_US 1000000
 
 typedef enum step_type {
-	LIST,	   /* a list whose first page has this revision */
-	RELIST,	   /* the same, while changes are still read */
-	CHANGES,   /* changes up to this revision */
-	NO_CHANGES /* an empty response with this revision */
+	LIST,	    /* a list whose first page has this revision */
+	RELIST,	    /* the same, while changes are still read */
+	CHANGES,    /* changes up to this revision */
+	NO_CHANGES, /* an empty response with this revision */
+	RETURN	    /* the store came back from an older copy */
 } step_type_t;
 
 typedef struct step {
@@ -55,6 +56,14 @@
 		{ CHANGES, 31, 3 } },
 	    { { 12, JOURNAL_COMPACTED, 0 }, { 29, JOURNAL_COMPACTED, 0 },
 		{ 30, JOURNAL_CHANGED, 31 } } },
+	{ "the store came back: lower revisions are new ones",
+	    { { LIST, 10, 0 }, { CHANGES, 30, 1 }, { RETURN, 1, 2 },
+		{ LIST, 20, 3 }, { CHANGES, 25, 4 } },
+	    { { 20, JOURNAL_CHANGED, 25 }, { 10, JOURNAL_COMPACTED, 0 },
+		{ 25, JOURNAL_CURRENT, 0 } } },
+	{ "the store came back, and nothing is listed yet",
+	    { { LIST, 10, 0 }, { CHANGES, 30, 1 }, { RETURN, 1, 2 } },
+	    { { 30, JOURNAL_COMPACTED, 0 }, { 10, JOURNAL_COMPACTED, 0 } } },
 	{ "a list beside the changes leaves no gap for slow followers",
 	    { { LIST, 10, 0 }, { CHANGES, 12, 1 }, { RELIST, 20, SECOND_US },
 		{ CHANGES, 25, SECOND_US + 1 } },
@@ -80,6 +89,9 @@
 		feed_journal_finish_list(journal, step->at_us, step->at_us,
 		    step->revision, step->type == RELIST);
 		break;
+	case RETURN:
+		feed_journal_reset(journal);
+		break;
 	case CHANGES:
 	case NO_CHANGES:
 		feed_journal_add_changes(journal, step->at_us, step->at_us,
--- a/tests/store_view.c
+++ b/tests/store_view.c
@@ -62,7 +62,7 @@
 
 	store_view_set_table(view, route_table_create(1));
 	store_view_begin_page(view);
-	store_view_set_leaf(view, &entry);
+	store_view_set_leaf(view, &entry, 0);
 	store_view_begin_page(view);
 	if (is_listed)
 		store_view_keep_entries(view, &removal, listed);
--- a/tests/view_source.c
+++ b/tests/view_source.c
@@ -34,7 +34,10 @@
 	EVENT_STORE_DOWN,	   /* for 5 s */
 	EVENT_READERS_TURNED_AWAY, /* the store rejects the readers for 9 s */
 	EVENT_READER_CUT,	   /* one reader is cut off without a sign */
-	EVENT_ANSWERS_LOST	   /* answers to writes are lost for 9 s */
+	EVENT_ANSWERS_LOST,	   /* answers to writes are lost for 9 s */
+	EVENT_CLAIMS_LOST,	   /* the store's copy has no claims */
+	EVENT_OLD_CLAIMS,	   /* it names readers that were lost 8 s ago */
+	EVENT_RETURNS		   /* it has no claims, four times, each 2 s */
 } incident_t;
 
 static const struct pattern {
@@ -61,6 +64,12 @@
 	{ "a reader is cut off without a sign", 295, EVENT_READER_CUT, 6, 2.2,
 	    2 },
 	{ "answers to claims are lost", 295, EVENT_ANSWERS_LOST, 6, 3, 4 },
+	{ "the store comes back without the claims", 295, EVENT_CLAIMS_LOST, 6,
+	    2.2, 2 },
+	{ "the same, nine VMs", 9, EVENT_CLAIMS_LOST, 6, 2.2, 30 },
+	{ "the store comes back and names lost readers", 295, EVENT_OLD_CLAIMS,
+	    6, 3, 5 },
+	{ "the store comes back four times", 295, EVENT_RETURNS, 6, 2.2, 3 },
 };
 
 typedef struct vm {
@@ -73,6 +82,7 @@
 	view_task_t task;
 	int64_t task_end_us, due_us, poll_us, unserved_since_us, silent_us;
 	int64_t worst_gap_us, listed_us;
+	int64_t epoch; /* of the store, as this VM knows it */
 	char polled[ENDPOINT_BYTES];
 } vm_t;
 
@@ -85,6 +95,8 @@
 	reader_entry_t writes[WRITES_MAX]; /* all versions of all entries */
 	int64_t written_us[WRITES_MAX];
 	int write_count;
+	int copied_count; /* writes that the store's copy has */
+	int64_t epoch;
 	bool is_store_down, are_answers_lost;
 	double calls;
 	int readers_begun;
@@ -167,6 +179,28 @@
 	return NULL;
 }
 
+/* Returns whether the VM has learned of a later epoch. */
+static bool
+tell_epoch(const world_t *world, vm_t *vm, int64_t epoch)
+{
+	if (epoch <= vm->epoch)
+		return false;
+	vm->epoch = epoch;
+	view_source_begin_epoch(vm->source, world->now_us);
+	return true;
+}
+
+/* The store comes back without what was written after the copy. */
+static void
+return_to_copy(world_t *world)
+{
+	world->write_count = world->copied_count;
+	world->revision = world->write_count > 0
+			      ? world->writes[world->write_count - 1].revision
+			      : 0;
+	world->epoch++;
+}
+
 static void
 finish_list(world_t *world, vm_t *vm, bool is_fresh)
 {
@@ -179,6 +213,7 @@
 		view_source_fail_list(vm->source, world->now_us);
 		return;
 	}
+	tell_epoch(world, vm, world->epoch);
 	view_source_set_readers(vm->source, world->now_us, entries,
 	    list_entries(world, age_us, entries), true);
 }
@@ -195,6 +230,10 @@
 		    vm->source, world->now_us, VIEW_WRITE_FAILED, NULL);
 		return;
 	}
+	if (tell_epoch(world, vm, world->epoch)) {
+		view_source_drop_task(vm->source, world->now_us);
+		return;
+	}
 	if (own->revision == (entry != NULL ? entry->revision : 0)) {
 		world->writes[world->write_count] = *own;
 		world->writes[world->write_count].revision = ++world->revision;
@@ -213,7 +252,7 @@
 
 /* Whether the reader answers: 1 yes, 0 it refuses, -1 it is silent. */
 static int
-ask_reader(world_t *world, const char *address)
+ask_reader(world_t *world, const char *address, int64_t epoch)
 {
 	vm_t *reader = find_vm(world, address);
 
@@ -221,6 +260,8 @@
 		return 0;
 	if (reader->is_frozen)
 		return -1;
+	if (reader->epoch < epoch)
+		return 0;
 	if (view_source_get_mode(reader->source) != VIEW_READING ||
 	    !reaches_store(world, reader) || reader->is_doubting)
 		return 0;
@@ -241,10 +282,12 @@
 		*is_served = vm->unserved_since_us == 0;
 		return;
 	}
-	answer = ask_reader(world, address);
+	answer = ask_reader(world, address, vm->epoch);
 	vm->poll_us = world->now_us + POLL_US;
 	if (answer > 0) {
 		vm->silent_us = world->now_us + POLL_US;
+		if (tell_epoch(world, vm, find_vm(world, address)->epoch))
+			vm->listed_us = world->now_us - LIST_US;
 		view_source_handle_reader_answer(vm->source, world->now_us);
 		*is_served = true;
 		if (world->now_us - vm->listed_us > LIST_US) {
@@ -351,6 +394,14 @@
 	incident_t event = world->pattern->event;
 	bool is_done = false;
 
+	if (event == EVENT_OLD_CLAIMS && since_us == 0)
+		world->copied_count = world->write_count;
+	if ((event == EVENT_CLAIMS_LOST && since_us == 0) ||
+	    (event == EVENT_OLD_CLAIMS && since_us == 8000000) ||
+	    (event == EVENT_RETURNS && since_us % 2000000 == 0 &&
+		since_us < 8000000))
+		return_to_copy(world);
+
 	world->is_store_down = event == EVENT_STORE_DOWN && since_us < 5000000;
 	world->are_answers_lost =
 	    event == EVENT_ANSWERS_LOST && since_us < 9000000;
@@ -374,7 +425,7 @@
 			continue;
 		if (event == EVENT_READER_LOST ||
 		    event == EVENT_ALL_READERS_LOST ||
-		    event == EVENT_ANSWERS_LOST)
+		    event == EVENT_ANSWERS_LOST || event == EVENT_OLD_CLAIMS)
 			end_vm(vm);
 		if (event == EVENT_READER_FROZEN)
 			vm->is_frozen = true;
