Soak: the store comes back from a copy of itself

Copies and returns are drawn by a sequence of their own, so that a seed keeps its other faults. The operator and the leafs write theirs again within 2 s of the return. The checker knows nothing of it but the trouble of the store.

--- a/soak/cluster.c
+++ b/soak/cluster.c
@@ -60,6 +60,7 @@
 	child_t *child;
 	proxy_t *proxy;
 	bool is_leaving;
+	const char *state; /* of its entry */
 } cluster_leaf_t;
 
 typedef void (*later_fn_t)(cluster_t *cluster, int number, int generation);
@@ -324,6 +325,53 @@
 	call_control(leaf->cluster, tag, callback, path);
 }
 
+static void
+lapse_entry(cluster_t *cluster, int slot, int generation)
+{
+	char path[128];
+
+	/* The slot may hold its next lifetime already. */
+	snprintf(path, sizeof(path), "/entry?id=i-%d.%d&state=gone", slot,
+	    generation);
+	call_control(cluster, 0, ignore_reply, path);
+}
+
+/* The store lost the last of what it was told: all of it is told again. */
+static void
+rewrite_store(cluster_t *cluster, int number, int generation)
+{
+	char set[32], path[256];
+
+	get_set(cluster, set, sizeof(set));
+	snprintf(path, sizeof(path),
+	    "/configuration?version=%d&set=%s&shards=%d", cluster->version, set,
+	    count_shards(cluster));
+	call_control(cluster, 0, ignore_reply, path);
+	for (int i = 0; i < 2 * cluster->leaf_count; i++) {
+		cluster_leaf_t *leaf = &cluster->leafs[i];
+
+		for (int old = 1; old <= leaf->generation; old++)
+			if (old < leaf->generation || leaf->child == NULL)
+				lapse_entry(cluster, leaf->slot, old);
+		if (leaf->child != NULL)
+			put_entry(leaf, leaf->state, 0, ignore_reply);
+	}
+}
+
+void
+cluster_copy_store(cluster_t *cluster)
+{
+	call_control(cluster, 0, ignore_reply, "/copy");
+}
+
+void
+cluster_return_store(cluster_t *cluster, int64_t rewrite_us)
+{
+	call_control(cluster, 0, ignore_reply, "/return");
+	cluster_set_store(cluster, "up", false);
+	put_off(cluster, rewrite_us, rewrite_store, 0, 0);
+}
+
 static void
 start_leaf(cluster_leaf_t *leaf)
 {
@@ -347,18 +395,8 @@
 	    (const char *const[]){ path, "--tell", "--work-ms", WORK_MS,
 		"--port", port, "--leaf", text, NULL },
 	    NULL, &hooks);
-	put_entry(leaf, "ready", 0, ignore_reply);
-}
-
-static void
-lapse_entry(cluster_t *cluster, int slot, int generation)
-{
-	char path[128];
-
-	/* The slot may hold its next lifetime already. */
-	snprintf(path, sizeof(path), "/entry?id=i-%d.%d&state=gone", slot,
-	    generation);
-	call_control(cluster, 0, ignore_reply, path);
+	leaf->state = "ready";
+	put_entry(leaf, leaf->state, 0, ignore_reply);
 }
 
 static void
@@ -436,6 +474,7 @@
 	if (leaf->child == NULL || leaf->is_leaving)
 		return;
 	leaf->is_leaving = true;
+	leaf->state = state;
 	put_entry(leaf, state, tag, handle_drained);
 	put_off(leaf->cluster, leaf->cluster->options.drain_us + DRAIN_SLACK_US,
 	    end_drained, leaf->slot, leaf->generation);
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -8,11 +8,12 @@
 
 #include "soak.h"
 
-#define DELAY_LEAST_US 30000
-#define DELAY_MOST_US  400000
-#define HERD_SHARE     0.6 /* of the VMs, at least */
-#define SILENT_SHARE   0.3 /* of leafs that leave without saying so */
-#define LEAVING_SHARE  0.4 /* of those that say so in their answers first */
+#define DELAY_LEAST_US	30000
+#define DELAY_MOST_US	400000
+#define REWRITE_MOST_US 2000000 /* until all is written again */
+#define HERD_SHARE	0.6	/* of the VMs, at least */
+#define SILENT_SHARE	0.3	/* of leafs that leave without saying so */
+#define LEAVING_SHARE	0.4 /* of those that say so in their answers first */
 
 static int
 pick_vm(const cluster_t *cluster, const soak_step_t *step)
@@ -152,6 +153,23 @@
 		cluster_set_store(cluster, "up", false);
 }
 
+/* Each copy is of some moment before the return. */
+static void
+run_store_copy(cluster_t *cluster, const soak_step_t *step)
+{
+	cluster_copy_store(cluster);
+}
+
+static void
+run_store_return(cluster_t *cluster, const soak_step_t *step)
+{
+	if (step->is_end)
+		cluster_return_store(
+		    cluster, (int64_t)(step->value * REWRITE_MOST_US));
+	else
+		cluster_set_store(cluster, "down", true);
+}
+
 static void
 run_store_freeze(cluster_t *cluster, const soak_step_t *step)
 {
@@ -276,6 +294,18 @@
 	{ "repartition", 4, 0, 0, 1, run_repartition, 0, NULL },
 };
 
+/* Drawn apart from the others, whose steps a seed keeps. */
+static const fault_kind_t return_kinds[] = {
+	{ "store-copy", 0, 0, 0, 1, run_store_copy, 0, NULL },
+	{ "store-return", 0, S / 5, 2 * S, 2, run_store_return, 0, NULL },
+};
+
+const fault_kind_t *
+fault_get_return_kind(bool is_return)
+{
+	return &return_kinds[is_return];
+}
+
 const fault_kind_t *
 fault_get_kinds(int *count)
 {
--- a/soak/schedule.c
+++ b/soak/schedule.c
@@ -10,13 +10,16 @@
 
 #include "soak.h"
 
-#define EPISODE_KINDS 4
-#define SPREAD_US     1500000 /* between the beginnings in one episode */
-#define PAUSE_MOST_US 2500000
-#define LULL_SHARE    0.3     /* of the pauses are long */
-#define LULL_US	      8000000 /* longer than what makes a VM stable */
-#define SERIES_GAP_US 1200000 /* the longest between two of a series */
-#define TARGETS	      1000000
+#define EPISODE_KINDS	4
+#define SPREAD_US	1500000 /* between the beginnings in one episode */
+#define PAUSE_MOST_US	2500000
+#define LULL_SHARE	0.3	/* of the pauses are long */
+#define LULL_US		8000000 /* longer than what makes a VM stable */
+#define SERIES_GAP_US	1200000 /* the longest between two of a series */
+#define TARGETS		1000000
+#define RETURN_LEAST_US 3000000 /* between two copies or returns */
+#define RETURN_MOST_US	9000000
+#define RETURN_SEED	0x7265747572 /* of their own sequence of numbers */
 
 static int
 compare_steps(const void *left, const void *right)
@@ -74,6 +77,25 @@
 	}
 }
 
+static void
+add_returns(GArray *steps, const schedule_options_t *options)
+{
+	gsl_rng *random = gsl_rng_alloc(gsl_rng_taus2);
+	int64_t at_us = options->begin_us;
+	bool is_return = false;
+
+	gsl_rng_set(random, (unsigned long)options->seed ^ RETURN_SEED);
+	for (;;) {
+		at_us += draw_time(random, RETURN_LEAST_US, RETURN_MOST_US);
+		if (at_us >= options->end_us)
+			break;
+		add_fault(steps, options, fault_get_return_kind(is_return),
+		    at_us, random);
+		is_return = !is_return;
+	}
+	gsl_rng_free(random);
+}
+
 GArray *
 schedule_create(const schedule_options_t *options)
 {
@@ -94,6 +116,7 @@
 		at_us +=
 		    is_lull ? LULL_US : draw_time(random, 0, PAUSE_MOST_US);
 	}
+	add_returns(steps, options);
 	g_array_sort(steps, compare_steps);
 	gsl_rng_free(random);
 	return steps;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -169,6 +169,10 @@
 void cluster_trouble(cluster_t *cluster, bool is_trouble, const char *format,
     ...) G_GNUC_PRINTF(3, 4);
 void cluster_set_store(cluster_t *cluster, const char *mode, bool is_trouble);
+/** It is away, then back as its last copy; all is written again, perhaps later.
+ */
+void cluster_copy_store(cluster_t *cluster);
+void cluster_return_store(cluster_t *cluster, int64_t rewrite_us);
 void cluster_signal_store(cluster_t *cluster, int number);
 void cluster_kill_leaf(
     cluster_t *cluster, int leaf); /* its entry lapses later */
@@ -199,6 +203,8 @@
 };
 
 const fault_kind_t *fault_get_kinds(int *count);
+/** The store takes a copy of itself, or comes back as the last one. */
+const fault_kind_t *fault_get_return_kind(bool is_return);
 /** Ends whatever is still in force. */
 void fault_heal(cluster_t *cluster);
 
