tests/cases/tier_epoch: ports of its own

A run of the suite beside one of this case failed serve_odd_entries, whose platform stands on the same port: it read the answer of the other case's stand-in ("runs 64 twice 0 ... revision 119" in place of settings).

--- a/tests/cases/tier_epoch.sh
+++ b/tests/cases/tier_epoch.sh
@@ -2,7 +2,7 @@
 # older copy of itself: revisions are given out again, and what was written since the copy is gone.
 . stand-ins/tier.sh
 tier_bound_ms=2000
-tier_begin "$PA_SCRATCH" 28000
+tier_begin "$PA_SCRATCH" 28600
 tier_control /copy >/dev/null
 for n in 1 2 3; do tier_start $n; done
 vms="1 2 3"
