Send a watch again when the store has moved on without it

Cause: a list answered on another connection counted as a sign that the watch was sound. The watch ended at its time-out only.

Fix: the list's revision tells whether the watch should have been answered. If so, it is sent again on a new connection without a wait; only a list without a later change confirms a watch.

--- a/src/events.h
+++ b/src/events.h
@@ -139,5 +139,7 @@
     "the epoch in an answer is not a number; it counts as unchanged")
 LOG_EVENT(638, LOG_TIER_ENTRY_HELD, G_LOG_LEVEL_MESSAGE,
     "the entry of a leaf that had gone came back with an older copy")
+LOG_EVENT(639, LOG_TIER_WATCH_SILENT, G_LOG_LEVEL_WARNING,
+    "a watch of the store did not tell of changes; it was sent again")
 LOG_EVENT(690, LOG_LINES_DROPPED, G_LOG_LEVEL_WARNING,
     "log lines of one event were dropped in a second; a field counts them")
--- a/src/store_client.c
+++ b/src/store_client.c
@@ -44,6 +44,8 @@
 #define FOLLOWER_WAIT_MAX_US   1000000
 #define FOLLOWER_SLACK_MIN_US  500000 /* a busy VM answers late */
 
+#define CHECK_FRACTION 0.3 /* of the time to know a change */
+
 /*
  * A watch at the store returns at the first change, and each call has a cost.
  * The next one is delayed by a fraction of the time in which a change must take
@@ -81,6 +83,8 @@
 	int64_t since_us;      /* of the changes in the answer being read */
 	int64_t list_revision; /* of the list in progress */
 	int64_t next_call_us, sent_us, timeout_us, backoff_us;
+	int64_t checked_us;  /* its watch was last sent again to test it */
+	bool is_checked;     /* the call in progress does */
 	int64_t relisted_us; /* the last list for the sake of followers */
 	int64_t no_list_us;  /* the reader has no list since; 0: it has */
 	char last_name[KEY_BYTES];
@@ -387,25 +391,55 @@
 	    feed->position.complete_us);
 }
 
+/* Both feeds answer, or are taken to be sound. */
+static void
+note_store_reached(store_client_t *client)
+{
+	if (!client->feeds[FEED_CONFIGURATION].is_lost &&
+	    !client->feeds[FEED_LEAVES].is_lost)
+		view_source_set_store_lost(
+		    client->source, clock_get_us(), false);
+	update_serving(client);
+}
+
+/* A watch that does not tell of changes is sent again, not too often. */
+static int64_t
+get_check_interval_us(const store_client_t *client)
+{
+	return (int64_t)(CHECK_FRACTION * (double)MIN(client->settings.drain_us,
+					      client->settings.apply_us));
+}
+
 /*
- * The store answered a list that was sent after a watch: the watch is taken for
- * sound, since it is answered only at the next change.
+ * The store answered a list that was sent after a watch. Without a change since
+ * the position of the feed, the watch is taken for sound: it is answered only
+ * at the next change. Else the change may be of another kind, or the watch's
+ * connection silent: it is sent again on a new one, and answered at once.
  */
 static void
-confirm_watches(
-    store_client_t *client, int64_t listed_us, int64_t listed_boot_us)
+confirm_watches(store_client_t *client, const feed_state_t *list)
 {
 	for (int i = 0; i < FEED_COUNT; i++) {
 		feed_state_t *feed = &client->feeds[i];
 
-		if (feed->is_in_call && feed->step == STEP_WATCHING &&
-		    feed->is_to_store && feed->sent_us < listed_us) {
+		if (!feed->is_in_call || feed->step != STEP_WATCHING ||
+		    !feed->is_to_store || feed->sent_us >= list->sent_us)
+			continue;
+		if (list->list_revision <= feed->position.revision) {
 			feed->is_lost = false;
 			feed->backoff_us = 0;
-			set_complete(feed,
-			    MAX(feed->position.complete_us, listed_boot_us));
+			set_complete(feed, MAX(feed->position.complete_us,
+					       list->sent_boot_us));
+		} else if (feed->sent_us + WATCH_PROMPT_US < list->sent_us &&
+			   !stream_has_unread(feed->stream) &&
+			   list->sent_us >= feed->checked_us +
+						get_check_interval_us(client)) {
+			feed->checked_us = list->sent_us;
+			feed->is_checked = true;
+			drop_call(feed, list->sent_us, 0);
 		}
 	}
+	note_store_reached(client);
 }
 
 /* The store or the reader has answered a call. */
@@ -426,14 +460,9 @@
 		log_fields(LOG_TIER_STORE_REGAINED,
 		    "\"feed\":\"%s\",\"revision\":%" G_GINT64_FORMAT,
 		    feed_names[feed->feed], feed->position.revision);
-	if (feed->feed == FEED_READERS)
-		confirm_watches(client, feed->sent_us, feed->sent_boot_us);
-	if (!client->feeds[FEED_CONFIGURATION].is_lost &&
-	    !client->feeds[FEED_LEAVES].is_lost)
-		view_source_set_store_lost(client->source, now_us, false);
 	if (was_lost && feed->feed == FEED_READERS)
 		resume_feeds(client, now_us);
-	update_serving(client);
+	note_store_reached(client);
 }
 
 /* Ends the task that view_source asked for. */
@@ -600,7 +629,7 @@
 	GString *call = g_string_new(NULL);
 
 	/* Several readers may be lost: a dead one must show without a wait. */
-	if (!is_to_store && feed->is_source_new)
+	if ((!is_to_store && feed->is_source_new) || feed->is_checked)
 		wait_us = 0;
 	client->protocol->write_watch(
 	    call, feed->feed, feed->position.revision, wait_us / 1000);
@@ -951,6 +980,8 @@
 		as_of_us = feed->position.complete_us;
 	feed->no_list_us = 0;
 	if (feed->feed == FEED_READERS) {
+		if (feed->is_to_store)
+			confirm_watches(client, feed);
 		finish_readers(feed, now_us);
 		/* Followers must not go to the reader that an old claim names.
 		 */
@@ -1044,6 +1075,11 @@
 	mirror_t *mirror = feed->client->mirror;
 
 	log_store_read(feed, false, page->revision, now_us);
+	if (feed->is_checked && page->count > 0)
+		log_fields(LOG_TIER_WATCH_SILENT,
+		    "\"feed\":\"%s\",\"peer\":\"%s\",\"changes\":%d",
+		    feed_names[feed->feed], feed->peer, page->count);
+	feed->is_checked = false;
 	add_to_journal(feed, page, now_us);
 	feed_position_advance(&feed->position, page->revision);
 	set_complete(feed, feed->is_to_store && page->count < WATCH_PAGE_EVENTS
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -22,6 +22,7 @@
  *                                  and &zone=Z
  * GET  /configuration?version=N    the next one; &set=NAME, &shards=N, and
  *                                  &idle=N for routes that nobody uses
+ * GET  /silence?kind=K             open connections that watch it go silent
  * GET  /copy                       the store takes a copy of itself
  * GET  /return                     it comes back as that copy
  * GET  /churn?version=N            N changes of one leaf's entry
@@ -267,6 +268,8 @@
 		    sizeof(site->drained_while_listed));
 	else if (g_str_has_prefix(target, "/entry"))
 		set_entry(site, id, state, target);
+	else if (g_str_has_prefix(target, "/silence"))
+		site_store_silence_links(site, kind);
 	else if (g_str_has_prefix(target, "/copy"))
 		site_store_take_copy(site);
 	else if (g_str_has_prefix(target, "/return"))
--- a/stand-ins/site.h
+++ b/stand-ins/site.h
@@ -47,6 +47,7 @@
 	int64_t watch_revision; /* -1: no watch */
 	char *kind;		/* of the watch */
 	bool is_running, is_queued, is_ended, is_delayed;
+	bool is_silent;	     /* nothing is sent on it any more */
 	GString *late_extra; /* sent when the next request arrives; or NULL */
 	const char *endless; /* sent again and again until the VM closes */
 	GString *backlog;
@@ -104,6 +105,8 @@
 void site_store_put_leaf(
     site_t *site, const site_leaf_t *leaf, const char *state);
 void site_store_set_mode(site_t *site, const char *mode);
+/** Open connections that watch this kind go silent for good; new ones work. */
+void site_store_silence_links(site_t *site, const char *kind);
 void site_store_take_copy(site_t *site);
 /** What was written after the copy is lost, and so are all connections. */
 void site_store_return_to_copy(site_t *site);
--- a/stand-ins/site_store.c
+++ b/stand-ins/site_store.c
@@ -322,7 +322,8 @@
 {
 	site_t *site = link->port->site;
 
-	if (strcmp(site->mode, "silent") == 0 || link->port->is_turned_away)
+	if (strcmp(site->mode, "silent") == 0 || link->is_silent ||
+	    link->port->is_turned_away)
 		return;
 	if (site_leafs_begin_endless(link, site->mode))
 		return;
@@ -467,6 +468,18 @@
 	}
 }
 
+void
+site_store_silence_links(site_t *site, const char *kind)
+{
+	site_link_t *link;
+
+	LIST_FOREACH(link, &site->links, all)
+	if (g_strcmp0(link->kind, kind) == 0) {
+		link->is_silent = true;
+		link->watch_revision = -1;
+	}
+}
+
 static gboolean
 is_after_copy(gpointer data, const site_t *site)
 {
