List a feed that is behind by large answers

Cause: an answer with fewer than 100 changes counted as the last one, so each version waited for the batch delay. An answer over 8 MB failed and was asked for again from the same revision.

Fix: behind an answer of 256 KB or more the next is asked for at once; after two in a row the feed is listed, and followers are told to. Changes too large for an answer make the feed list.

--- a/src/store_client.c
+++ b/src/store_client.c
@@ -29,6 +29,9 @@
 #define WATCH_PROMPT_US	      100000  /* from a change to a watch's answer */
 #define PUBLISH_DELAY_US      2000    /* batches changes that arrive together */
 #define WATCH_PAGE_EVENTS     100     /* a full page: more may follow */
+#define LARGE_PAGE_BYTES      262144  /* the same; the store's limit is 1 MB */
+#define LARGE_PAGES_MAX	      2	      /* in a row; then the feed is listed */
+#define LARGE_PAGE_US	      500000  /* to read one that did not wait */
 #define RELIST_INTERVAL_US    5000000
 #define RELIST_WANTED_US      1000000 /* if a follower needs the list */
 #define NO_LIST_PATIENCE_US   1000000 /* with a reader that has no list */
@@ -85,6 +88,8 @@
 	int64_t next_call_us, sent_us, timeout_us, backoff_us;
 	int64_t checked_us;  /* its watch was last sent again to test it */
 	bool is_checked;     /* the call in progress does */
+	int large_pages;     /* read in a row, none of which had to wait */
+	bool is_skipping;    /* lists, to leave out the changes until now */
 	int64_t relisted_us; /* the last list for the sake of followers */
 	int64_t no_list_us;  /* the reader has no list since; 0: it has */
 	char last_name[KEY_BYTES];
@@ -709,7 +714,8 @@
 		feed->next_call_us = feed->lost_us + LOST_FEED_WAIT_US;
 	else if (client->mode == VIEW_SEARCHING)
 		feed->next_call_us = INT64_MAX; /* until there is a source */
-	else if (feed->position.is_listed && !is_relist_due(feed, now_us))
+	else if (feed->position.is_listed && !feed->is_skipping &&
+		 !is_relist_due(feed, now_us))
 		send_watch(feed);
 	else {
 		if (feed->position.is_listed)
@@ -989,10 +995,14 @@
 			return;
 	}
 	feed_journal_finish_list(journal, now_us, as_of_us, feed->list_revision,
-	    feed->position.is_listed);
+	    feed->position.is_listed && !feed->is_skipping);
 	mirror_clear_list_wanted(client->mirror, feed->feed);
 	if (feed->feed == FEED_READERS)
 		return;
+	if (feed->is_skipping)
+		feed_position_lose_history(&feed->position);
+	feed->is_skipping = false;
+	feed->large_pages = 0;
 	if (feed->feed == FEED_LEAVES) {
 		store_view_keep_entries(
 		    client->view, &removal, feed->listed_names);
@@ -1005,6 +1015,7 @@
 	 */
 	feed_position_set_list(&feed->position, feed->list_revision, as_of_us);
 	set_complete(feed, feed->position.complete_us);
+	mirror_notify(client->mirror, feed->feed);
 	update_serving(client);
 }
 
@@ -1069,10 +1080,28 @@
 		g_string_free(compact, TRUE);
 }
 
+/*
+ * Of many versions in a row the last one matters. A feed that is behind is
+ * listed in place of read page after page. Returns whether it may be behind.
+ */
+static bool
+is_behind(feed_state_t *feed, const feed_page_t *page, int64_t now_us)
+{
+	bool is_large =
+	    page->count > 0 && feed->message.body->len >= LARGE_PAGE_BYTES;
+
+	if (!is_large || now_us - feed->sent_us > LARGE_PAGE_US)
+		feed->large_pages = 0;
+	if (is_large && ++feed->large_pages >= LARGE_PAGES_MAX)
+		feed->is_skipping = true;
+	return is_large || page->count >= WATCH_PAGE_EVENTS;
+}
+
 static void
 handle_changes(feed_state_t *feed, const feed_page_t *page, int64_t now_us)
 {
 	mirror_t *mirror = feed->client->mirror;
+	bool has_more = is_behind(feed, page, now_us);
 
 	log_store_read(feed, false, page->revision, now_us);
 	if (feed->is_checked && page->count > 0)
@@ -1082,13 +1111,12 @@
 	feed->is_checked = false;
 	add_to_journal(feed, page, now_us);
 	feed_position_advance(&feed->position, page->revision);
-	set_complete(feed, feed->is_to_store && page->count < WATCH_PAGE_EVENTS
+	set_complete(feed, feed->is_to_store && !has_more
 			       ? MAX(feed->since_us, feed->sent_boot_us)
 			       : feed->since_us);
 	http_message_reset(&feed->message);
 	mirror_notify(mirror, feed->feed);
-	schedule_call(feed, now_us,
-	    page->count >= WATCH_PAGE_EVENTS ? 0 : get_call_delay_us(feed));
+	schedule_call(feed, now_us, has_more ? 0 : get_call_delay_us(feed));
 }
 
 static void
@@ -1209,7 +1237,10 @@
 	case HTTP_INCOMPLETE:
 		return;
 	case HTTP_INVALID:
-		fail_call(feed, "not HTTP");
+		/* The same call would get the same answer. */
+		if (feed->message.is_body_over_limit)
+			feed_position_lose_history(&feed->position);
+		fail_call(feed, http_message_get_problem(&feed->message));
 		return;
 	case HTTP_COMPLETE:
 		handle_answer(feed);
--- a/stand-ins/site.c
+++ b/stand-ins/site.c
@@ -37,6 +37,7 @@
 #include "site.h"
 
 #define ENDLESS_INTERVAL_US 1000
+#define EVENTS_A_PAGE	    120 /* of one answer to a watch */
 #define HEAD_BYTES	    16384
 #define BODY_BYTES	    1048576
 #define VM_PORTS_BEGIN	    61 /* after the first port */
@@ -509,6 +510,8 @@
 	    arg_int0(NULL, "work-ms", "N", "mean work of a request (5)");
 	struct arg_int *page =
 	    arg_int0(NULL, "page", "N", "objects on a page of a list (all)");
+	struct arg_int *events = arg_int0(
+	    NULL, "events", "N", "events in an answer to a watch (120)");
 	struct arg_int *vms = arg_int0(
 	    NULL, "vms", "N", "VMs with a port of their own at the store (0)");
 	struct arg_str *leaf = arg_str0(
@@ -518,8 +521,8 @@
 	    arg_lit0(NULL, "tell", "print a line for each arrival and run");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { port, shards, work, page, vms, leaf, store, tell,
-		help, end };
+	void *table[] = { port, shards, work, page, events, vms, leaf, store,
+		tell, help, end };
 	site_t site = { 0 };
 	int errors = arg_parse(argc, argv, table);
 
@@ -536,6 +539,7 @@
 	site.shards = shards->count > 0 ? shards->ival[0] : 6;
 	site.work_ms = work->count > 0 ? work->ival[0] : 5;
 	site.page_items = page->count > 0 ? page->ival[0] : 0;
+	site.page_events = events->count > 0 ? events->ival[0] : EVENTS_A_PAGE;
 	site.is_told = tell->count > 0;
 	open_port(&site, PORT_CONTROL, port->ival[0], NULL);
 	if (leaf->count > 0 && !add_leaf(&site, leaf->sval[0]))
--- a/stand-ins/site.h
+++ b/stand-ins/site.h
@@ -72,6 +72,7 @@
 	int shards, work_ms;
 	int idle_routes; /* of each configuration, that nobody uses */
 	int page_items;	 /* of a list; 0: all on one page */
+	int page_events; /* of an answer to a watch */
 	/* Leaf that drains after the first page of the next list; "": none */
 	char drained_while_listed[64];
 	GHashTable *runs; /* request id + service -> count */
--- a/stand-ins/site_store.c
+++ b/stand-ins/site_store.c
@@ -10,7 +10,6 @@
 #include "site.h"
 
 #define FIRST_REVISION 100
-#define EVENTS_A_PAGE  120    /* of one answer to a watch */
 #define SLOW_US	       400000 /* an answer of a slow store */
 #define LOST_SHARE     0.4    /* of the writes of a store that loses answers */
 #define CONNECTIONS    26     /* limit of a leaf, for all callers together */
@@ -100,10 +99,10 @@
 		    events, json_pack("{s:b,s:O}", "deleted", event->is_removed,
 				"object", event->object));
 		last = event->revision;
-		if (json_array_size(events) >= EVENTS_A_PAGE)
+		if (json_array_size(events) >= (size_t)site->page_events)
 			break;
 	}
-	if (json_array_size(events) < EVENTS_A_PAGE)
+	if (json_array_size(events) < (size_t)site->page_events)
 		last = site->revision;
 	if (json_array_size(events) == 0 && clock_get_us() < link->due_us) {
 		json_decref(events);
