Check a watch only for changes that no other feed explains

Cause: each change of a reader's entry or of a leaf looked like one that the other feeds' watches had missed.

Fix: each revision is one change, so that changes of other feeds can be counted off.

--- a/src/feed_position.c
+++ b/src/feed_position.c
@@ -33,7 +33,7 @@
 feed_position_begin_epoch(feed_position_t *position, int64_t epoch)
 {
 	position->epoch = epoch;
-	position->revision = 0;
+	position->revision = position->unchanged = 0;
 	position->is_listed = false;
 }
 
@@ -60,6 +60,20 @@
 	position->revision = MAX(position->revision, revision);
 }
 
+int64_t
+feed_position_get_unchanged(const feed_position_t *position)
+{
+	return MAX(position->revision, position->unchanged);
+}
+
+void
+feed_position_explain(
+    feed_position_t *position, int64_t from, int64_t to, int count)
+{
+	if (from <= feed_position_get_unchanged(position) && to - from == count)
+		position->unchanged = MAX(position->unchanged, to);
+}
+
 void
 feed_position_confirm(feed_position_t *position, int64_t complete_us)
 {
--- a/src/feed_position.h
+++ b/src/feed_position.h
@@ -13,9 +13,10 @@
 #include <stdint.h>
 
 typedef struct feed_position {
-	int64_t epoch;	  /* of the store; 0: it has not said */
-	int64_t revision; /* all changes up to it are in the view */
-	bool is_listed;	  /* the view has a whole list of this epoch */
+	int64_t epoch;	   /* of the store; 0: it has not said */
+	int64_t revision;  /* all changes up to it are in the view */
+	int64_t unchanged; /* no change of this feed is between them */
+	bool is_listed;	   /* the view has a whole list of this epoch */
 	/** Boot clock, us: the view holds all changes up to then. */
 	int64_t complete_us;
 } feed_position_t;
@@ -39,6 +40,14 @@
     feed_position_t *position, int64_t revision, int64_t complete_us);
 /** Changes up to the revision were read. */
 void feed_position_advance(feed_position_t *position, int64_t revision);
+/** The feed has not changed up to this revision, as far as is known. */
+int64_t feed_position_get_unchanged(const feed_position_t *position);
+/**
+ * `count` changes of other feeds are known behind `from` and up to `to`. Each
+ * revision is one change: if there are as many, this feed has not changed.
+ */
+void feed_position_explain(
+    feed_position_t *position, int64_t from, int64_t to, int count);
 /** The view is known to hold all changes up to this time. */
 void feed_position_confirm(feed_position_t *position, int64_t complete_us);
 
--- a/src/store_client.c
+++ b/src/store_client.c
@@ -86,8 +86,7 @@
 	int64_t since_us;      /* of the changes in the answer being read */
 	int64_t list_revision; /* of the list in progress */
 	int64_t next_call_us, sent_us, timeout_us, backoff_us;
-	int64_t checked_us;  /* its watch was last sent again to test it */
-	bool is_checked;     /* the call in progress does */
+	bool is_checked;     /* the call in progress tests its watch */
 	int large_pages;     /* read in a row, none of which had to wait */
 	bool is_skipping;    /* lists, to leave out the changes until now */
 	int64_t relisted_us; /* the last list for the sake of followers */
@@ -407,7 +406,7 @@
 	update_serving(client);
 }
 
-/* A watch that does not tell of changes is sent again, not too often. */
+/* How long a watch may say nothing while the store's revision moves. */
 static int64_t
 get_check_interval_us(const store_client_t *client)
 {
@@ -415,6 +414,19 @@
 					      client->settings.apply_us));
 }
 
+/* The changes that a list of readers shows are none of the other feeds. */
+static void
+explain_by_readers(feed_position_t *position, const feed_state_t *list)
+{
+	int64_t from = feed_position_get_unchanged(position);
+	int count = 0;
+
+	for (guint i = 0; i < list->listed_readers->len; i++)
+		count += g_array_index(list->listed_readers, reader_entry_t, i)
+			     .revision > from;
+	feed_position_explain(position, from, list->list_revision, count);
+}
+
 /*
  * The store answered a list that was sent after a watch. Without a change since
  * the position of the feed, the watch is taken for sound: it is answered only
@@ -430,16 +442,16 @@
 		if (!feed->is_in_call || feed->step != STEP_WATCHING ||
 		    !feed->is_to_store || feed->sent_us >= list->sent_us)
 			continue;
-		if (list->list_revision <= feed->position.revision) {
+		explain_by_readers(&feed->position, list);
+		if (list->list_revision <=
+		    feed_position_get_unchanged(&feed->position)) {
 			feed->is_lost = false;
 			feed->backoff_us = 0;
 			set_complete(feed, MAX(feed->position.complete_us,
 					       list->sent_boot_us));
-		} else if (feed->sent_us + WATCH_PROMPT_US < list->sent_us &&
-			   !stream_has_unread(feed->stream) &&
-			   list->sent_us >= feed->checked_us +
-						get_check_interval_us(client)) {
-			feed->checked_us = list->sent_us;
+		} else if (list->sent_us >=
+			       feed->sent_us + get_check_interval_us(client) &&
+			   !stream_has_unread(feed->stream)) {
 			feed->is_checked = true;
 			drop_call(feed, list->sent_us, 0);
 		}
@@ -1102,21 +1114,29 @@
 {
 	mirror_t *mirror = feed->client->mirror;
 	bool has_more = is_behind(feed, page, now_us);
+	int64_t delay_us = get_call_delay_us(feed);
 
 	log_store_read(feed, false, page->revision, now_us);
 	if (feed->is_checked && page->count > 0)
 		log_fields(LOG_TIER_WATCH_SILENT,
 		    "\"feed\":\"%s\",\"peer\":\"%s\",\"changes\":%d",
 		    feed_names[feed->feed], feed->peer, page->count);
+	else if (feed->is_checked)
+		delay_us = get_check_interval_us(feed->client);
 	feed->is_checked = false;
 	add_to_journal(feed, page, now_us);
+	if (feed->is_to_store)
+		for (int i = 0; i < FEED_COUNT; i++)
+			feed_position_explain(&feed->client->feeds[i].position,
+			    feed->position.revision, page->revision,
+			    page->count);
 	feed_position_advance(&feed->position, page->revision);
 	set_complete(feed, feed->is_to_store && !has_more
 			       ? MAX(feed->since_us, feed->sent_boot_us)
 			       : feed->since_us);
 	http_message_reset(&feed->message);
 	mirror_notify(mirror, feed->feed);
-	schedule_call(feed, now_us, has_more ? 0 : get_call_delay_us(feed));
+	schedule_call(feed, now_us, has_more ? 0 : delay_us);
 }
 
 static void
--- a/tests/store_epochs.c
+++ b/tests/store_epochs.c
@@ -48,6 +48,15 @@
 	feed_position_set_list(&position, 110, 11);
 	feed_position_advance(&position, 112);
 	errors += position.revision != 112 || position.complete_us != 11;
+	/* Three changes of other feeds are behind 112, one of this may be. */
+	feed_position_explain(&position, 112, 115, 3);
+	errors += feed_position_get_unchanged(&position) != 115;
+	feed_position_explain(&position, 115, 118, 2);
+	feed_position_explain(&position, 116, 118, 2); /* 116 is not known */
+	errors += feed_position_get_unchanged(&position) != 115 ||
+		  position.revision != 112;
+	feed_position_begin_epoch(&position, 3);
+	errors += feed_position_get_unchanged(&position) != 0;
 	printf("positions: %s\n", errors == 0 ? "ok" : "FAIL");
 	return errors;
 }
