store_client: names and order for the reader

A flag is named for what it says (more changes may follow an answer), and the functions of the store's epochs stand under their heading. No change of behaviour.

--- a/src/store_client.c
+++ b/src/store_client.c
@@ -761,8 +761,6 @@
 	}
 }
 
-/* ---- Epochs of the store ---- */
-
 static void
 schedule_call(feed_state_t *feed, int64_t now_us, int64_t delay_us)
 {
@@ -771,7 +769,9 @@
 	loop_wake(feed->client->loop);
 }
 
-/* Of many VMs that learn of a new epoch at the same moment. */
+/* ---- Epochs of the store ---- */
+
+/* VMs that learn of a new epoch at the same moment do not all list at once. */
 static int64_t
 get_spread_us(const feed_state_t *feed)
 {
@@ -1113,7 +1113,7 @@
 handle_changes(feed_state_t *feed, const feed_page_t *page, int64_t now_us)
 {
 	mirror_t *mirror = feed->client->mirror;
-	bool has_more = is_behind(feed, page, now_us);
+	bool more_follow = is_behind(feed, page, now_us);
 	int64_t delay_us = get_call_delay_us(feed);
 
 	log_store_read(feed, false, page->revision, now_us);
@@ -1131,12 +1131,12 @@
 			    feed->position.revision, page->revision,
 			    page->count);
 	feed_position_advance(&feed->position, page->revision);
-	set_complete(feed, feed->is_to_store && !has_more
+	set_complete(feed, feed->is_to_store && !more_follow
 			       ? MAX(feed->since_us, feed->sent_boot_us)
 			       : feed->since_us);
 	http_message_reset(&feed->message);
 	mirror_notify(mirror, feed->feed);
-	schedule_call(feed, now_us, has_more ? 0 : delay_us);
+	schedule_call(feed, now_us, more_follow ? 0 : delay_us);
 }
 
 static void
